--- /dev/null
+++ b/fuzz/fuzz-adapter.c
@@ -0,0 +1,86 @@
+/* Any bytes as what the users' platform sends: packets, reports and configurations.  The first byte
+ * says which. */
+#include "platform/lc-platform-declaration.h"
+#include "platform/lc-platform-packet.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  N_KINDS = 3,
+  HEAD_AND_DATA_MAX = 34 + 1200,
+};
+
+static void
+lc_fuzz__packet (const uint8_t *bytes, size_t len)
+{
+  uint8_t copy[HEAD_AND_DATA_MAX];
+  uint8_t reset[LC_PLATFORM_HEAD_BYTES];
+  LcPacket packet;
+  LcPacket again;
+
+  if (lc_platform_packet_parse (&packet, bytes, len) < 0)
+    return;
+  if (len > sizeof copy)
+    abort (); /* longer than any packet */
+  memcpy (copy, bytes, len);
+  lc_platform_packet_set_mark (copy, packet.mark);
+  if (lc_platform_packet_parse (&again, copy, len) < 0 || again.is_returned ||
+      !lc_flow_key_equal (&again.key, &packet.key))
+    abort (); /* a mark makes no other packet of it */
+  lc_platform_packet_reset (&packet, reset);
+  if (lc_platform_packet_parse (&again, reset, sizeof reset) < 0 || !again.is_reset)
+    abort ();
+}
+
+static void
+lc_fuzz__report (const uint8_t *bytes, size_t len)
+{
+  static const char PATH[] = "/instances/i-1";
+  LcPlatformCall call = { "PUT", 3, PATH, sizeof PATH - 1, (const char *)bytes, len };
+  LcBackendReport report;
+  LcError error = { 0 };
+
+  if (lc_platform_report_read (&report, &call, &error) < 0 && error.remedy[0] == '\0')
+    abort (); /* each error names a remedy */
+}
+
+static void
+lc_fuzz__declaration (const uint8_t *bytes, size_t len)
+{
+  LcNumberedDeclaration n;
+  LcError error = { 0 };
+
+  if (lc_platform_declaration_read (&n, (const char *)bytes, len, &error) < 0)
+    {
+      if (error.remedy[0] == '\0')
+        abort ();
+      return;
+    }
+  if (lc_numbered_check (&n, &error) < 0)
+    abort (); /* what is taken passes its check */
+  lc_numbered_finish (&n);
+}
+
+int LLVMFuzzerTestOneInput (const uint8_t *bytes, size_t len);
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *bytes, size_t len)
+{
+  if (len == 0)
+    return 0;
+  switch (bytes[0] % N_KINDS)
+    {
+    case 0:
+      lc_fuzz__packet (bytes + 1, len - 1);
+      break;
+    case 1:
+      lc_fuzz__report (bytes + 1, len - 1);
+      break;
+    default:
+      lc_fuzz__declaration (bytes + 1, len - 1);
+      break;
+    }
+  return 0;
+}
--- a/proto/lc-control.pb-c.c
+++ b/proto/lc-control.pb-c.c
@@ -772,6 +772,51 @@
   assert(message->base.descriptor == &lc__wire__command_member__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lc__wire__numbered_declaration__init
+                     (Lc__Wire__NumberedDeclaration         *message)
+{
+  static const Lc__Wire__NumberedDeclaration init_value = LC__WIRE__NUMBERED_DECLARATION__INIT;
+  *message = init_value;
+}
+size_t lc__wire__numbered_declaration__get_packed_size
+                     (const Lc__Wire__NumberedDeclaration *message)
+{
+  assert(message->base.descriptor == &lc__wire__numbered_declaration__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lc__wire__numbered_declaration__pack
+                     (const Lc__Wire__NumberedDeclaration *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lc__wire__numbered_declaration__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lc__wire__numbered_declaration__pack_to_buffer
+                     (const Lc__Wire__NumberedDeclaration *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lc__wire__numbered_declaration__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lc__Wire__NumberedDeclaration *
+       lc__wire__numbered_declaration__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lc__Wire__NumberedDeclaration *)
+     protobuf_c_message_unpack (&lc__wire__numbered_declaration__descriptor,
+                                allocator, len, data);
+}
+void   lc__wire__numbered_declaration__free_unpacked
+                     (Lc__Wire__NumberedDeclaration *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lc__wire__numbered_declaration__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lc__wire__command__init
                      (Lc__Wire__Command         *message)
 {
@@ -2565,7 +2610,71 @@
   (ProtobufCMessageInit) lc__wire__command_member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__command__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lc__wire__numbered_declaration__field_descriptors[3] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__NumberedDeclaration, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "intent",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__NumberedDeclaration, intent),
+    &lc__wire__intent__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "document",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__NumberedDeclaration, document),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lc__wire__numbered_declaration__field_indices_by_name[] = {
+  2,   /* field[2] = document */
+  1,   /* field[1] = intent */
+  0,   /* field[0] = number */
+};
+static const ProtobufCIntRange lc__wire__numbered_declaration__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor lc__wire__numbered_declaration__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lc.wire.NumberedDeclaration",
+  "NumberedDeclaration",
+  "Lc__Wire__NumberedDeclaration",
+  "lc.wire",
+  sizeof(Lc__Wire__NumberedDeclaration),
+  3,
+  lc__wire__numbered_declaration__field_descriptors,
+  lc__wire__numbered_declaration__field_indices_by_name,
+  1,  lc__wire__numbered_declaration__number_ranges,
+  (ProtobufCMessageInit) lc__wire__numbered_declaration__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lc__wire__command__field_descriptors[8] =
 {
   {
     "kind",
@@ -2651,11 +2760,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "numbered",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__Command, numbered),
+    &lc__wire__numbered_declaration__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__command__field_indices_by_name[] = {
   4,   /* field[4] = intent */
   0,   /* field[0] = kind */
   6,   /* field[6] = member */
+  7,   /* field[7] = numbered */
   5,   /* field[5] = plan_id */
   1,   /* field[1] = request_id */
   3,   /* field[3] = wall_us */
@@ -2664,7 +2786,7 @@
 static const ProtobufCIntRange lc__wire__command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lc__wire__command__descriptor =
 {
@@ -2674,7 +2796,7 @@
   "Lc__Wire__Command",
   "lc.wire",
   sizeof(Lc__Wire__Command),
-  7,
+  8,
   lc__wire__command__field_descriptors,
   lc__wire__command__field_indices_by_name,
   1,  lc__wire__command__number_ranges,
@@ -3300,7 +3422,7 @@
   (ProtobufCMessageInit) lc__wire__stored_balancer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__control_snapshot__field_descriptors[20] =
+static const ProtobufCFieldDescriptor lc__wire__control_snapshot__field_descriptors[23] =
 {
   {
     "config_revision",
@@ -3542,6 +3664,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "numbered_number",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__ControlSnapshot, numbered_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "numbered_document",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__ControlSnapshot, numbered_document),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "numbered_revision",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__ControlSnapshot, numbered_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__control_snapshot__field_indices_by_name[] = {
   15,   /* field[15] = answers */
@@ -3555,6 +3713,9 @@
   3,   /* field[3] = next_endpoint_id */
   6,   /* field[6] = next_route_id */
   2,   /* field[2] = next_service_id */
+  21,   /* field[21] = numbered_document */
+  20,   /* field[20] = numbered_number */
+  22,   /* field[22] = numbered_revision */
   14,   /* field[14] = plans */
   7,   /* field[7] = replace_is_active */
   9,   /* field[9] = replace_old_name */
@@ -3568,7 +3729,7 @@
 static const ProtobufCIntRange lc__wire__control_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor lc__wire__control_snapshot__descriptor =
 {
@@ -3578,7 +3739,7 @@
   "Lc__Wire__ControlSnapshot",
   "lc.wire",
   sizeof(Lc__Wire__ControlSnapshot),
-  20,
+  23,
   lc__wire__control_snapshot__field_descriptors,
   lc__wire__control_snapshot__field_indices_by_name,
   1,  lc__wire__control_snapshot__number_ranges,
--- a/proto/lc-control.pb-c.h
+++ b/proto/lc-control.pb-c.h
@@ -33,6 +33,7 @@
 typedef struct Lc__Wire__DeclaredService Lc__Wire__DeclaredService;
 typedef struct Lc__Wire__Intent Lc__Wire__Intent;
 typedef struct Lc__Wire__CommandMember Lc__Wire__CommandMember;
+typedef struct Lc__Wire__NumberedDeclaration Lc__Wire__NumberedDeclaration;
 typedef struct Lc__Wire__Command Lc__Wire__Command;
 typedef struct Lc__Wire__StoredPlan Lc__Wire__StoredPlan;
 typedef struct Lc__Wire__StoredAnswer Lc__Wire__StoredAnswer;
@@ -318,6 +319,24 @@
     , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, NULL, 0 }
 
 
+struct  Lc__Wire__NumberedDeclaration
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  /*
+   * only its services count
+   */
+  Lc__Wire__Intent *intent;
+  /*
+   * as it was sent
+   */
+  ProtobufCBinaryData document;
+};
+#define LC__WIRE__NUMBERED_DECLARATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lc__wire__numbered_declaration__descriptor) \
+    , 0, NULL, {0,NULL} }
+
+
 struct  Lc__Wire__Command
 {
   ProtobufCMessage base;
@@ -328,10 +347,11 @@
   Lc__Wire__Intent *intent;
   uint64_t plan_id;
   Lc__Wire__CommandMember *member;
+  Lc__Wire__NumberedDeclaration *numbered;
 };
 #define LC__WIRE__COMMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__command__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, NULL, 0, NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, NULL, 0, NULL, NULL }
 
 
 struct  Lc__Wire__StoredPlan
@@ -448,10 +468,13 @@
   Lc__Wire__StoredBalancer **balancers;
   size_t n_view;
   Lc__Wire__ViewOp **view;
+  uint64_t numbered_number;
+  ProtobufCBinaryData numbered_document;
+  uint64_t numbered_revision;
 };
 #define LC__WIRE__CONTROL_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__control_snapshot__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, {0,NULL}, 0 }
 
 
 /* Lc__Wire__LogEntry methods */
@@ -777,6 +800,25 @@
 void   lc__wire__command_member__free_unpacked
                      (Lc__Wire__CommandMember *message,
                       ProtobufCAllocator *allocator);
+/* Lc__Wire__NumberedDeclaration methods */
+void   lc__wire__numbered_declaration__init
+                     (Lc__Wire__NumberedDeclaration         *message);
+size_t lc__wire__numbered_declaration__get_packed_size
+                     (const Lc__Wire__NumberedDeclaration   *message);
+size_t lc__wire__numbered_declaration__pack
+                     (const Lc__Wire__NumberedDeclaration   *message,
+                      uint8_t             *out);
+size_t lc__wire__numbered_declaration__pack_to_buffer
+                     (const Lc__Wire__NumberedDeclaration   *message,
+                      ProtobufCBuffer     *buffer);
+Lc__Wire__NumberedDeclaration *
+       lc__wire__numbered_declaration__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lc__wire__numbered_declaration__free_unpacked
+                     (Lc__Wire__NumberedDeclaration *message,
+                      ProtobufCAllocator *allocator);
 /* Lc__Wire__Command methods */
 void   lc__wire__command__init
                      (Lc__Wire__Command         *message);
@@ -963,6 +1005,9 @@
 typedef void (*Lc__Wire__CommandMember_Closure)
                  (const Lc__Wire__CommandMember *message,
                   void *closure_data);
+typedef void (*Lc__Wire__NumberedDeclaration_Closure)
+                 (const Lc__Wire__NumberedDeclaration *message,
+                  void *closure_data);
 typedef void (*Lc__Wire__Command_Closure)
                  (const Lc__Wire__Command *message,
                   void *closure_data);
@@ -1007,6 +1052,7 @@
 extern const ProtobufCMessageDescriptor lc__wire__declared_service__descriptor;
 extern const ProtobufCMessageDescriptor lc__wire__intent__descriptor;
 extern const ProtobufCMessageDescriptor lc__wire__command_member__descriptor;
+extern const ProtobufCMessageDescriptor lc__wire__numbered_declaration__descriptor;
 extern const ProtobufCMessageDescriptor lc__wire__command__descriptor;
 extern const ProtobufCMessageDescriptor lc__wire__stored_plan__descriptor;
 extern const ProtobufCMessageDescriptor lc__wire__stored_answer__descriptor;
--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -1,7 +1,9 @@
 #include "lc-agent-flow.h"
 
+#include "core/flow/lc-flow-return.h"
 #include "io/lc-clock.h"
 #include "io/lc-flow-wire.h"
+#include "io/lc-packet-format.h"
 
 #include <string.h>
 
@@ -12,6 +14,45 @@
   LC_AGENT_FLOW_LOG_PER_S = 2,
 };
 
+/* === private: callers ======================================================================= */
+
+static LcPacketFormat
+lc_agent_flow__format (const LcAgentFlow *plane)
+{
+  return (LcPacketFormat)plane->desc.settings->packet_format;
+}
+
+/* Answers for the caller go to the port at which the fabric takes them, the same on every VM. */
+static void
+lc_agent_flow__send_to_caller (LcAgentFlow *plane, uint32_t ipv4, const uint8_t *bytes, size_t len)
+{
+  (void)lc_datagram_send (&plane->port, ipv4, plane->desc.settings->flow_port, bytes, len, NULL, 0);
+}
+
+static void
+lc_agent_flow__reset (LcAgentFlow *plane, const LcPacket *packet)
+{
+  uint8_t bytes[LC_PACKET_RESET_BYTES];
+  size_t len = lc_packet_format_reset (lc_agent_flow__format (plane), packet, bytes);
+
+  if (len > 0)
+    lc_agent_flow__send_to_caller (plane, packet->key.source_ipv4, bytes, len);
+}
+
+static void
+lc_agent_flow__send_resets (LcAgentFlow *plane, int64_t now_us)
+{
+  LcPacket packet;
+
+  while (lc_flow_return_next_reset (&plane->agent, &packet))
+    {
+      lc_agent_flow__reset (plane, &packet);
+      if (lc_log_allow (&plane->drop_limit, now_us, LC_AGENT_FLOW_LOG_PER_S))
+        LC_WARN ("flow.reset", "reason", LC_STR ("every backend server denied it"), "caller_ipv4",
+                 LC_U64 (packet.key.source_ipv4), "caller_port", LC_U64 (packet.key.source_port));
+    }
+}
+
 /* === private: messages ====================================================================== */
 
 static void
@@ -20,6 +61,7 @@
   uint8_t bytes[LC_FLOW_WIRE_MAX];
   LcFlowMessage message;
 
+  lc_agent_flow__send_resets (plane, now_us);
   while (lc_flow_agent_next (&plane->agent, &message, now_us))
     {
       size_t len = lc_flow_wire_write (&message, bytes, sizeof bytes);
@@ -41,6 +83,17 @@
 
 /* === private: packets ======================================================================= */
 
+/* The whole packet, in a datagram of its own. */
+static void
+lc_agent_flow__give (LcAgentFlow *plane, uint8_t *bytes, const LcPacket *packet, uint32_t mark)
+{
+  const LcSocketAddress *backend = &plane->desc.settings->backend_feed;
+
+  lc_packet_format_set_mark (lc_agent_flow__format (plane), bytes, mark);
+  (void)lc_datagram_send (&plane->port, backend->ipv4, backend->port, bytes, packet->total_len,
+                          NULL, 0);
+}
+
 static void
 lc_agent_flow__deliver (LcAgentFlow *plane,
                         const LcFlowAction *action,
@@ -57,6 +110,11 @@
       ipv4 = settings->backend_feed.ipv4;
       port = settings->backend_feed.port;
     }
+  if (settings->delivery == LC_AGENT_DELIVERY_DATAGRAM)
+    {
+      lc_agent_flow__give (plane, bytes, packet, action->deliver.mark);
+      return;
+    }
   if (settings->delivery == LC_AGENT_DELIVERY_INJECT)
     {
       lc_agent_inject_send (&plane->inject, bytes, packet, ipv4, port);
@@ -70,38 +128,131 @@
   flow->relay_port = lc_agent_relay_source_port (&plane->relay, flow->user);
 }
 
+static void
+lc_agent_flow__send (LcAgentFlow *plane,
+                     const LcEnvelope *envelope,
+                     uint32_t ipv4,
+                     uint16_t port,
+                     const uint8_t *bytes,
+                     const LcPacket *packet)
+{
+  uint8_t header[LC_ENVELOPE_MAX_BYTES];
+
+  (void)lc_datagram_send (&plane->port, ipv4, port, header,
+                          lc_envelope_encode (envelope, header, sizeof header), bytes,
+                          packet->total_len);
+}
+
+/* Asks every other agent of the service for the owner of the packet's flow. */
+static void
+lc_agent_flow__search (LcAgentFlow *plane, bool is_here, uint8_t *bytes, const LcPacket *packet)
+{
+  LcCandidate others[LC_FLOW_SEARCH_MAX];
+  uint32_t n = lc_flow_return_others (&plane->agent, lc_flow_key_hash (&packet->key), others);
+  LcEnvelope envelope;
+
+  lc_packet_format_set_mark (lc_agent_flow__format (plane), bytes, LC_FLOW_MARK_NONE);
+  for (uint32_t i = 0; i < n; i++)
+    {
+      lc_flow_return_search (&plane->agent, &others[i], &envelope);
+      lc_agent_flow__send (plane, &envelope, others[i].ipv4, others[i].port, bytes, packet);
+    }
+  if (is_here)
+    lc_agent_flow__give (plane, bytes, packet, plane->agent.desc.self.id);
+}
+
+static void
+lc_agent_flow__act (LcAgentFlow *plane,
+                    const LcFlowAction *action,
+                    const LcEnvelope *envelope,
+                    uint8_t *bytes,
+                    const LcPacket *packet,
+                    int64_t now_us)
+{
+  switch (action->kind)
+    {
+    case LC_FLOW_ACTION_DELIVER:
+      lc_agent_flow__deliver (plane, action, bytes, packet);
+      return;
+    case LC_FLOW_ACTION_SEND:
+      lc_packet_format_set_mark (lc_agent_flow__format (plane), bytes, LC_FLOW_MARK_NONE);
+      lc_agent_flow__send (plane, envelope, action->send.ipv4, action->send.port, bytes, packet);
+      return;
+    case LC_FLOW_ACTION_TRY:
+      lc_agent_flow__give (plane, bytes, packet, action->try_mark);
+      return;
+    case LC_FLOW_ACTION_SEARCH:
+      lc_agent_flow__search (plane, action->is_here, bytes, packet);
+      return;
+    case LC_FLOW_ACTION_RESET:
+      lc_agent_flow__reset (plane, packet);
+      break;
+    case LC_FLOW_ACTION_DROP:
+      break;
+    }
+  if (lc_log_allow (&plane->drop_limit, now_us, LC_AGENT_FLOW_LOG_PER_S))
+    LC_WARN (action->kind == LC_FLOW_ACTION_RESET ? "flow.reset" : "flow.dropped", "reason",
+             LC_STR (lc_drop_reason_name (action->reason)), "caller_ipv4",
+             LC_U64 (packet->key.source_ipv4), "caller_port", LC_U64 (packet->key.source_port));
+}
+
 static void
 lc_agent_flow__on_envelope (
     LcAgentFlow *plane, uint8_t *bytes, size_t len, uint32_t from, int64_t now_us)
 {
-  uint8_t header[LC_ENVELOPE_MAX_BYTES];
   LcEnvelope envelope;
   LcPacket packet;
   LcFlowAction action;
   int start = lc_envelope_decode (&envelope, bytes, len);
 
-  if (start < 0 || lc_packet_parse (&packet, bytes + start, len - (size_t)start) < 0)
+  if (start < 0 || lc_packet_format_parse (lc_agent_flow__format (plane), &packet, bytes + start,
+                                           len - (size_t)start) < 0)
     {
       lc_agent_flow__malformed (plane, "envelope", from, now_us);
       return;
     }
   action = lc_flow_agent_packet (&plane->agent, &envelope, &packet, now_us);
-  switch (action.kind)
+  lc_agent_flow__act (plane, &action, &envelope, bytes + start, &packet, now_us);
+}
+
+/* === private: from the backend server ======================================================= */
+
+static void
+lc_agent_flow__on_returned (LcAgentFlow *plane,
+                            uint8_t *bytes,
+                            const LcPacket *packet,
+                            int64_t now_us)
+{
+  LcEnvelope envelope;
+  LcFlowAction action;
+
+  if (!plane->has_agent)
+    return;
+  action = lc_flow_return_returned (&plane->agent, &envelope, packet, now_us);
+  lc_agent_flow__act (plane, &action, &envelope, bytes, packet, now_us);
+}
+
+static void
+lc_agent_flow__on_outbound (void *user, uint8_t *bytes, size_t len, uint32_t ipv4, uint16_t port)
+{
+  LcAgentFlow *plane = user;
+  int64_t now_us = lc_clock_now_us ();
+  LcPacket packet;
+
+  (void)port;
+  if (lc_packet_format_parse (lc_agent_flow__format (plane), &packet, bytes, len) < 0)
     {
-    case LC_FLOW_ACTION_DELIVER:
-      lc_agent_flow__deliver (plane, &action, bytes + start, &packet);
-      break;
-    case LC_FLOW_ACTION_SEND:
-      (void)lc_datagram_send (&plane->port, action.send.ipv4, action.send.port, header,
-                              lc_envelope_encode (&envelope, header, sizeof header), bytes + start,
-                              packet.total_len);
-      break;
-    case LC_FLOW_ACTION_DROP:
-    default:
-      if (lc_log_allow (&plane->drop_limit, now_us, LC_AGENT_FLOW_LOG_PER_S))
-        LC_WARN ("flow.dropped", "reason", LC_STR (lc_drop_reason_name (action.reason)));
-      break;
+      lc_agent_flow__malformed (plane, "outbound", ipv4, now_us);
+      return;
+    }
+  if (packet.is_returned)
+    {
+      lc_agent_flow__on_returned (plane, bytes, &packet, now_us);
+      return;
     }
+  if (plane->has_agent)
+    lc_flow_return_answered (&plane->agent, &packet, now_us);
+  lc_agent_flow__send_to_caller (plane, packet.key.target_ipv4, bytes, len);
 }
 
 static void
@@ -140,6 +291,15 @@
     lc_agent_flow__send_messages (plane, lc_clock_now_us ());
 }
 
+static void
+lc_agent_flow__on_outbound_end (void *user)
+{
+  LcAgentFlow *plane = user;
+
+  lc_agent_flow__on_batch_end (plane);
+  lc_datagram_flush (&plane->port);
+}
+
 /* === private: time ========================================================================== */
 
 static bool
@@ -257,6 +417,11 @@
                      NULL, &counts->conflicts_total);
   lc_flow_meter_add (meter, metrics, "lychee_flow_adopted_total", "Flows taken over", NULL,
                      &counts->adopted_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_returned_total",
+                     "Packets that the backend server returned", NULL, &counts->returned_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_searched_total",
+                     "Packets whose owner was looked for at every agent", NULL,
+                     &counts->searched_total);
   lc_flow_meter_add_drops (meter, metrics, counts->dropped_total);
   plane->open_flows =
       lc_metrics_gauge (metrics, "lychee_flow_open", "Open flows of the backend server", NULL);
@@ -270,17 +435,26 @@
   const LcEndpoint *e = lc_member_endpoint (plane->desc.member);
   LcFlowAgentDesc desc = { 0 };
 
-  if (plane->has_agent || e == NULL || e->instance != plane->desc.instance)
+  if (e == NULL || e->instance != lc_member_instance (plane->desc.member) ||
+      (plane->has_agent && e->instance == plane->agent.desc.self.instance))
     return;
+  if (plane->has_agent)
+    lc_flow_agent_finish (&plane->agent); /* another backend server: the flows were its own */
   desc.self = (LcCandidate){ e->id, e->ipv4, e->instance, e->flow_port };
   desc.service_id = e->service_id;
   desc.connection_limit = settings->connection_limit;
   desc.udp_idle_us = (int64_t)settings->udp_idle_ms * LC_US_PER_MS;
+  desc.tcp_idle_us = (int64_t)settings->tcp_idle_ms * LC_US_PER_MS;
+  desc.is_returning = lc_packet_format_is_returning (lc_agent_flow__format (plane));
   desc.backend_ipv4 = settings->backend_feed.ipv4;
   desc.backend_port = settings->backend_feed.port;
   desc.assign.ramp_us = (int64_t)settings->ramp_ms * LC_US_PER_MS;
   lc_flow_agent_init (&plane->agent, &desc, now_us);
   plane->has_agent = true;
+  lc_flow_agent_set_dc (&plane->agent, e->dc);
+  lc_flow_agent_set_without_backend (&plane->agent, !plane->is_backend_open);
+  if (plane->is_draining || plane->is_leaving)
+    lc_flow_agent_leave (&plane->agent);
   LC_INFO ("flow.started", "endpoint", LC_U64 (e->id), "service", LC_U64 (e->service_id));
 }
 
@@ -294,6 +468,12 @@
                           .user = plane,
                           .received = lc_agent_flow__on_datagram,
                           .batch_end = lc_agent_flow__on_batch_end };
+  LcDatagramDesc outbound = { .loop = plane->desc.app->loop,
+                              .ipv4 = settings->ipv4,
+                              .port = settings->outbound_port,
+                              .user = plane,
+                              .received = lc_agent_flow__on_outbound,
+                              .batch_end = lc_agent_flow__on_outbound_end };
   LcAgentRelayDesc relay = { .loop = plane->desc.app->loop,
                              .ipv4 = settings->ipv4,
                              .answers = &plane->port,
@@ -304,6 +484,13 @@
   if (r < 0)
     return r;
   lc_agent_relay_init (&plane->relay, &relay);
+  if (settings->outbound_port != 0)
+    {
+      r = lc_datagram_init (&plane->outbound, &outbound, error);
+      if (r < 0)
+        return r;
+      plane->has_outbound = true;
+    }
   if (settings->delivery == LC_AGENT_DELIVERY_INJECT)
     r = lc_agent_inject_init (&plane->inject, error);
   return r;
@@ -318,6 +505,7 @@
 
   memset (plane, 0, sizeof *plane);
   plane->desc = *desc;
+  plane->is_backend_open = desc->settings->report_port == 0;
   r = lc_agent_flow__open (plane, error);
   if (r < 0)
     return r;
@@ -334,6 +522,8 @@
   lc_agent_relay_finish (&plane->relay);
   lc_agent_inject_finish (&plane->inject);
   lc_datagram_finish (&plane->port);
+  if (plane->has_outbound)
+    lc_datagram_finish (&plane->outbound);
   if (plane->has_agent)
     lc_flow_agent_finish (&plane->agent);
   plane->has_agent = false;
@@ -391,6 +581,25 @@
   return plane->has_given_up || lc_flow_agent_is_drained (&plane->agent, lc_clock_now_us ());
 }
 
+void
+lc_agent_flow_leave (LcAgentFlow *plane)
+{
+  plane->is_leaving = true;
+  if (plane->has_agent)
+    lc_flow_agent_leave (&plane->agent);
+}
+
+void
+lc_agent_flow_set_backend (LcAgentFlow *plane, bool is_open)
+{
+  if (plane->is_backend_open == is_open)
+    return;
+  plane->is_backend_open = is_open;
+  LC_INFO ("flow.backend", "is_open", LC_U64 (is_open));
+  if (plane->has_agent)
+    lc_flow_agent_set_without_backend (&plane->agent, !is_open);
+}
+
 LcRevision
 lc_agent_flow_registered (const LcAgentFlow *plane)
 {
--- a/src/agent/lc-agent-flow.h
+++ b/src/agent/lc-agent-flow.h
@@ -29,7 +29,6 @@
   LcApp *app;
   const LcAgentSettings *settings;
   const LcMember *member;
-  LcInstance instance; /* of this process */
 } LcAgentFlowDesc;
 
 typedef struct
@@ -38,6 +37,8 @@
   LcFlowAgent agent;
   bool has_agent; /* the endpoint is committed: its id and service are known */
   LcDatagram port;
+  LcDatagram outbound; /* from the backend server: its answers, and what it returns */
+  bool has_outbound;
   LcAgentRelay relay;
   LcAgentInject inject;
   LcTimer timer;
@@ -45,6 +46,8 @@
   uint64_t burned[LC_N_BURN_COUNTERS]; /* totals already brought to app->burn */
   LcMetric *open_flows;
   bool is_draining;
+  bool is_backend_open;
+  bool is_leaving;   /* the backend server takes nothing new */
   bool has_given_up; /* nobody is left to take over: waiting longer would save nothing */
   int64_t hand_over_us;
   uint64_t malformed_total;
@@ -65,6 +68,10 @@
 void lc_agent_flow_drain (LcAgentFlow *plane);
 bool lc_agent_flow_is_idle (const LcAgentFlow *plane);
 /* The newest view revision with whose homes every owned flow is registered; 0: none yet. */
+/* The backend server leaves: no new flow from now on, what it has stays with it. */
+void lc_agent_flow_leave (LcAgentFlow *plane);
+/* Whether the backend server may be given new flows, as far as it reports itself. */
+void lc_agent_flow_set_backend (LcAgentFlow *plane, bool is_open);
 LcRevision lc_agent_flow_registered (const LcAgentFlow *plane);
 
 #endif
--- /dev/null
+++ b/src/agent/lc-agent-report.c
@@ -0,0 +1,128 @@
+#include "lc-agent-report.h"
+
+#include "io/lc-clock.h"
+#include "platform/lc-platform-report.h"
+
+#include <string.h>
+
+enum
+{
+  LC_AGENT_REPORT_LOGS_PER_S = 2,
+  LC_AGENT_REPORT_BODY_MAX = 64 << 10,
+};
+
+/* === private ================================================================================ */
+
+static const char *
+lc_agent_report__state_name (LcBackendState state)
+{
+  static const char *const NAMES[] = { "unknown", "ready", "draining", "ended" };
+
+  return NAMES[state];
+}
+
+static void
+lc_agent_report__log (const LcBackendReport *r, LcBackendNews news)
+{
+  LC_INFO (news == LC_BACKEND_STARTED ? "backend.started" : "backend.changed", "backend",
+           LC_STR (r->id), "state", LC_STR (lc_agent_report__state_name (r->state)), "sequence",
+           LC_U64 (r->sequence), "slots", LC_U64 (r->slots), "cold_ms", LC_U64 (r->cold_ms));
+}
+
+static void
+lc_agent_report__take (LcAgentReport *self, const LcBackendReport *r)
+{
+  LcBackendNews news = lc_backend_status_take (&self->status, r, lc_clock_now_us ());
+
+  lc_metric_add (self->reports_total, 1);
+  switch (news)
+    {
+    case LC_BACKEND_SAME:
+      break;
+    case LC_BACKEND_LATE:
+      lc_metric_add (self->late_total, 1);
+      break;
+    case LC_BACKEND_STARTED:
+    case LC_BACKEND_CHANGED:
+      lc_agent_report__log (r, news);
+      self->desc.news (self->desc.user, news, r);
+      break;
+    }
+}
+
+static void
+lc_agent_report__refuse (LcAgentReport *self, h2o_req_t *req, const LcError *error)
+{
+  lc_metric_add (self->refused_total, 1);
+  if (lc_log_allow (&self->log_limit, lc_clock_now_us (), LC_AGENT_REPORT_LOGS_PER_S))
+    LC_WARN ("backend.report-refused", "message", LC_STR (error->message), "remedy",
+             LC_STR (error->remedy));
+  lc_http_answer_error (req, error);
+}
+
+static int
+lc_agent_report__on_request (void *user, h2o_req_t *req)
+{
+  static const char ANSWER[] = "{}";
+  LcAgentReport *self = user;
+  LcPlatformCall call = { req->method.base,         req->method.len,  req->path_normalized.base,
+                          req->path_normalized.len, req->entity.base, req->entity.len };
+  LcBackendReport r;
+  LcError error = { 0 };
+  int result = lc_platform_report_read (&r, &call, &error);
+
+  if (result == LC_ERR_NOT_FOUND)
+    return -1;
+  if (result == 0 && r.state != LC_BACKEND_ENDED &&
+      strcmp (r.service, self->desc.settings->service) != 0)
+    result = lc_error_set (&error, LC_ERR_CONFLICT, "report to the agent of the same service",
+                           "a backend server of %s reports to an agent of %s", r.service,
+                           self->desc.settings->service);
+  if (result < 0)
+    {
+      lc_agent_report__refuse (self, req, &error);
+      return 0;
+    }
+  lc_agent_report__take (self, &r);
+  lc_http_answer (req, 200, NULL, ANSWER, sizeof ANSWER - 1);
+  return 0;
+}
+
+/* === public ================================================================================= */
+
+int
+lc_agent_report_init (LcAgentReport *self, const LcAgentReportDesc *desc, LcError *error)
+{
+  LcMetrics *m = &desc->app->metrics;
+  LcBackendStatusDesc status = { .interval_ms = desc->settings->report_interval_ms };
+  LcHttpDesc http = { .loop = desc->app->loop,
+                      .ipv4 = desc->settings->ipv4,
+                      .port = desc->settings->report_port,
+                      .max_body_bytes = LC_AGENT_REPORT_BODY_MAX,
+                      .user = self,
+                      .request = lc_agent_report__on_request };
+  int r;
+
+  memset (self, 0, sizeof *self);
+  self->desc = *desc;
+  lc_backend_status_init (&self->status, &status);
+  if (desc->settings->report_port == 0)
+    return 0;
+  self->reports_total =
+      lc_metrics_counter (m, "lychee_backend_reports_total", "Reports of the backend server", NULL);
+  self->late_total = lc_metrics_counter (m, "lychee_backend_reports_late_total",
+                                         "Reports older than what was known", NULL);
+  self->refused_total = lc_metrics_counter (m, "lychee_backend_reports_refused_total",
+                                            "Reports that could not be read", NULL);
+  r = lc_http_init (&self->http, &http, error);
+  self->is_listening = r == 0;
+  return r;
+}
+
+void
+lc_agent_report_finish (LcAgentReport *self)
+{
+  if (self->is_listening)
+    lc_http_finish (&self->http);
+  self->is_listening = false;
+}
--- a/src/agent/lc-agent-settings.h
+++ b/src/agent/lc-agent-settings.h
@@ -13,6 +13,8 @@
 {
   LC_AGENT_DELIVERY_RELAY = 0,  /* UDP relay: the backend server sees the agent's address */
   LC_AGENT_DELIVERY_INJECT = 1, /* raw IP: the backend server sees the caller's address */
+  LC_AGENT_DELIVERY_DATAGRAM =
+      2, /* the packet as it is, in a datagram; answers come by `outbound` */
 } LcAgentDelivery;
 
 typedef struct
@@ -28,12 +30,19 @@
   LcSocketAddress balancers[LC_AGENT_MAX_BALANCERS]; /* peer addresses, to start from */
   LcSocketAddress backend_http;
   LcSocketAddress backend_feed;
-  uint32_t delivery; /* LcAgentDelivery */
+  uint32_t delivery;            /* LcAgentDelivery */
+  uint32_t packet_format;       /* LcPacketFormat */
+  uint16_t outbound_port;       /* 0: the backend server answers callers by itself */
+  uint16_t report_port;         /* 0: the backend server does not report itself */
+  bool has_requests;            /* serves the request plane */
+  uint32_t report_interval_ms;  /* between its reports */
+  uint16_t balancers_peer_port; /* 0: as in `balancers` */
   uint32_t slots;
   uint32_t connection_limit;
   uint32_t weight_percent;
   uint32_t ramp_ms;
   uint32_t udp_idle_ms;
+  uint32_t tcp_idle_ms;
   uint32_t drain_limit_ms;
 } LcAgentSettings;
 
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -1,4 +1,5 @@
 #include "lc-agent-flow.h"
+#include "lc-agent-report.h"
 #include "lc-agent-request.h"
 
 #include "io/lc-clock.h"
@@ -12,16 +13,26 @@
   LcMember member;
   LcAgentFlow flow;
   LcAgentRequest request;
+  LcAgentReport report;
   LcLinkServer peers;
   LcHttp admin;
   LcTimer registered_timer;
+  int64_t stop_us; /* a planned stop beside a backend server that goes on ends then */
 } LcAgentProgram;
 
 enum
 {
   LC_AGENT_REGISTERED_MS = 200,
+  LC_AGENT_STOP_MS = 150, /* until peers have heard that it takes nothing new: two of their ticks */
 };
 
+/* Whether the backend server reports itself: then it, not this process, is what the view names. */
+static bool
+lc_agent__is_reported (const LcAgentProgram *p)
+{
+  return p->settings.report_port != 0;
+}
+
 /* === frames and links ======================================================================= */
 
 static void
@@ -29,7 +40,7 @@
 {
   LcAgentProgram *p = user;
 
-  if (frame->type >= LC_FRAME_REQUEST_FIRST)
+  if (frame->type >= LC_FRAME_REQUEST_FIRST && p->settings.has_requests)
     lc_agent_request_frame (&p->request, link, frame);
   else if (frame->type >= LC_FRAME_FLOW_FIRST)
     lc_agent_flow_frame (&p->flow, link, frame);
@@ -47,7 +58,8 @@
   LC_DEBUG ("peer.down", "why", LC_STR (why));
   lc_member_link_down (&p->member, link);
   lc_agent_flow_link_down (&p->flow, link);
-  lc_agent_request_link_down (&p->request, link);
+  if (p->settings.has_requests)
+    lc_agent_request_link_down (&p->request, link);
 }
 
 /* Says up to which revision both planes have done their part; former sets settle by it. */
@@ -55,40 +67,91 @@
 lc_agent__set_registered (LcAgentProgram *p)
 {
   LcRevision flow = lc_agent_flow_registered (&p->flow);
-  LcRevision request = lc_agent_request_registered (&p->request);
+  LcRevision request = p->settings.has_requests ? lc_agent_request_registered (&p->request) : flow;
 
   lc_member_set_registered (&p->member, MIN (flow, request));
 }
 
+static void
+lc_agent__note_backend (LcAgentProgram *p)
+{
+  if (lc_agent__is_reported (p))
+    lc_agent_flow_set_backend (
+        &p->flow,
+        p->stop_us == 0 && lc_backend_status_is_open (&p->report.status, lc_clock_now_us ()));
+}
+
 static void
 lc_agent__on_registered_timer (void *user)
 {
   LcAgentProgram *p = user;
 
   lc_agent__set_registered (p);
+  lc_agent__note_backend (p);
   lc_timer_start (&p->registered_timer, LC_AGENT_REGISTERED_MS);
 }
 
+/* === the backend server's reports =========================================================== */
+
+/* What a backend server says of leaving is carried out here before it is answered. */
+static void
+lc_agent__on_news (void *user, LcBackendNews news, const LcBackendReport *report)
+{
+  LcAgentProgram *p = user;
+
+  if (news == LC_BACKEND_STARTED)
+    lc_member_announce (&p->member, lc_backend_status_instance (&p->report.status),
+                        (uint8_t)MIN (report->slots, (uint32_t)UINT8_MAX));
+  if (report->state != LC_BACKEND_READY)
+    {
+      lc_agent_flow_leave (&p->flow);
+      lc_member_leave (&p->member);
+    }
+  lc_agent__note_backend (p);
+}
+
 static void
 lc_agent__on_view (void *user, const LcView *view, const LcViewOp *ops, size_t n_ops, bool is_reset)
 {
   LcAgentProgram *p = user;
 
+  if (lc_agent__is_reported (p))
+    (void)lc_member_resume (&p->member);
   lc_agent_flow_view (&p->flow, view, ops, n_ops, is_reset);
-  lc_agent_request_view (&p->request, view, ops, n_ops, is_reset);
+  if (p->settings.has_requests)
+    lc_agent_request_view (&p->request, view, ops, n_ops, is_reset);
   lc_agent__set_registered (p);
 }
 
 /* === planned stop =========================================================================== */
 
+/* The flows are the backend server's: when only this process stops, the next one finds them there.
+ * The endpoint leaves with it only when the backend server has ended. */
+static void
+lc_agent__on_process_stop (LcAgentProgram *p)
+{
+  LcBackendState state = p->report.status.newest.state;
+
+  p->stop_us = lc_clock_now_us () + LC_AGENT_STOP_MS * LC_US_PER_MS;
+  if (state == LC_BACKEND_READY || state == LC_BACKEND_DRAINING)
+    lc_member_keep (&p->member);
+  lc_agent__note_backend (p);
+}
+
 static void
 lc_agent__on_drain (void *user)
 {
   LcAgentProgram *p = user;
 
+  if (lc_agent__is_reported (p))
+    {
+      lc_agent__on_process_stop (p);
+      return;
+    }
   lc_member_leave (&p->member);
   lc_agent_flow_drain (&p->flow);
-  lc_agent_request_drain (&p->request);
+  if (p->settings.has_requests)
+    lc_agent_request_drain (&p->request);
 }
 
 static bool
@@ -96,8 +159,10 @@
 {
   LcAgentProgram *p = user;
 
+  if (lc_agent__is_reported (p))
+    return lc_clock_now_us () >= p->stop_us;
   return lc_member_has_left (&p->member) && lc_agent_flow_is_idle (&p->flow) &&
-         lc_agent_request_is_idle (&p->request);
+         (!p->settings.has_requests || lc_agent_request_is_idle (&p->request));
 }
 
 static bool
@@ -126,10 +191,11 @@
                         .upstreams = p->settings.balancers,
                         .n_upstreams = p->settings.n_balancers,
                         .ramp_ms = p->settings.ramp_ms,
+                        .is_held = lc_agent__is_reported (p),
                         .user = p,
                         .changed = lc_agent__on_view };
 
-  desc.endpoint.instance = instance;
+  desc.endpoint.instance = lc_agent__is_reported (p) ? 0 : instance;
   desc.endpoint.state = LC_ENDPOINT_JOINING;
   desc.endpoint.slots = (uint8_t)p->settings.slots;
   desc.endpoint.weight_percent = (uint16_t)p->settings.weight_percent;
@@ -144,11 +210,14 @@
 static int
 lc_agent__start_planes (LcAgentProgram *p, LcInstance instance, LcError *error)
 {
-  LcAgentFlowDesc flow = { &p->app, &p->settings, &p->member, instance };
+  LcAgentFlowDesc flow = { &p->app, &p->settings, &p->member };
+  LcAgentReportDesc report = { &p->app, &p->settings, p, lc_agent__on_news };
   LcAgentRequestDesc request = { &p->app, &p->settings, &p->member, instance };
   int r = lc_agent_flow_init (&p->flow, &flow, error);
 
-  return r < 0 ? r : lc_agent_request_init (&p->request, &request, error);
+  if (r == 0 && p->settings.has_requests)
+    r = lc_agent_request_init (&p->request, &request, error);
+  return r < 0 ? r : lc_agent_report_init (&p->report, &report, error);
 }
 
 static int
@@ -190,6 +259,8 @@
   if (r != LC_APP_RUN)
     return lc_app_exit_code (r);
   lc_log_init (p.app.log_level, "lychee-agent", p.settings.name);
+  lc_settings_set_ports (p.settings.balancers, p.settings.n_balancers,
+                         p.settings.balancers_peer_port);
   r = lc_agent__start (&p, &error);
   if (r < 0)
     {
@@ -202,7 +273,9 @@
   r = lc_app_run (&p.app, &p, p.settings.drain_limit_ms, lc_agent__on_drain, lc_agent__is_idle);
   lc_timer_finish (&p.registered_timer);
   lc_link_server_finish (&p.peers);
-  lc_agent_request_finish (&p.request);
+  lc_agent_report_finish (&p.report);
+  if (p.settings.has_requests)
+    lc_agent_request_finish (&p.request);
   lc_agent_flow_finish (&p.flow);
   lc_member_finish (&p.member);
   lc_http_finish (&p.admin);
--- a/src/balancer/lc-balancer-flow.c
+++ b/src/balancer/lc-balancer-flow.c
@@ -1,6 +1,7 @@
 #include "lc-balancer-flow.h"
 
 #include "io/lc-clock.h"
+#include "io/lc-packet-format.h"
 
 #include <string.h>
 
@@ -21,6 +22,27 @@
              LC_U64 (from));
 }
 
+static LcPacketFormat
+lc_balancer_flow__format (const LcBalancerFlow *plane)
+{
+  return (LcPacketFormat)plane->desc.settings->packet_format;
+}
+
+/* Tells the caller at once that its first packet leads nowhere.  A copy of it is left unanswered:
+ * the flow may have been opened by the one before. */
+static void
+lc_balancer_flow__reset (LcBalancerFlow *plane, const LcPacket *packet)
+{
+  uint8_t bytes[LC_PACKET_RESET_BYTES];
+  size_t len = lc_packet_format_reset (lc_balancer_flow__format (plane), packet, bytes);
+
+  if (len == 0)
+    return;
+  plane->reset_total++;
+  (void)lc_datagram_send (&plane->port, packet->key.source_ipv4, plane->desc.settings->flow_port,
+                          bytes, len, NULL, 0);
+}
+
 static void
 lc_balancer_flow__on_datagram (void *user, uint8_t *bytes, size_t len, uint32_t ipv4, uint16_t port)
 {
@@ -32,7 +54,8 @@
   int r;
 
   (void)port;
-  if (lc_packet_parse (&packet, bytes, len) < 0)
+  if (lc_packet_format_parse (lc_balancer_flow__format (plane), &packet, bytes, len) < 0 ||
+      packet.is_returned)
     {
       lc_balancer_flow__drop (plane, LC_DROP_MALFORMED, ipv4);
       return;
@@ -41,6 +64,8 @@
   if (r < 0)
     {
       lc_balancer_flow__drop (plane, (LcDropReason)-r, ipv4);
+      if (packet.may_open && packet.n_copies == 0)
+        lc_balancer_flow__reset (plane, &packet);
       return;
     }
   plane->steered_total++;
@@ -84,6 +109,9 @@
                      NULL, &plane->port.oversized_total);
   lc_flow_meter_add (&plane->meter, metrics, "lychee_flow_unsent_total",
                      "Datagrams the system refused", NULL, &plane->port.unsent_total);
+  lc_flow_meter_add (&plane->meter, metrics, "lychee_flow_reset_total",
+                     "First packets that led nowhere and were answered so", NULL,
+                     &plane->reset_total);
   lc_flow_meter_add_drops (&plane->meter, metrics, plane->dropped_total);
 }
 
@@ -111,6 +139,8 @@
   memset (plane, 0, sizeof *plane);
   plane->desc = *desc;
   lc_flow_balancer_init (&plane->balancer, 0);
+  lc_flow_balancer_set_returning (&plane->balancer,
+                                  lc_packet_format_is_returning (lc_balancer_flow__format (plane)));
   r = lc_datagram_init (&plane->port, &port, error);
   if (r < 0)
     return r;
@@ -158,10 +188,15 @@
 lc_balancer_flow_drain (LcBalancerFlow *plane)
 {
   plane->is_draining = true;
+  plane->hold_until_us =
+      lc_clock_now_us () + (int64_t)plane->desc.settings->drain_hold_ms * LC_US_PER_MS;
 }
 
 bool
 lc_balancer_flow_is_idle (const LcBalancerFlow *plane)
 {
-  return lc_clock_now_us () - plane->last_packet_us >= LC_BALANCER_FLOW_QUIET_US;
+  int64_t now_us = lc_clock_now_us ();
+
+  return now_us >= plane->hold_until_us &&
+         now_us - plane->last_packet_us >= LC_BALANCER_FLOW_QUIET_US;
 }
--- a/src/balancer/lc-balancer-flow.h
+++ b/src/balancer/lc-balancer-flow.h
@@ -41,6 +41,8 @@
   LcFlowMeter meter;
   int64_t last_packet_us;
   bool is_draining;
+  int64_t hold_until_us; /* a planned stop steers until then, and until it is quiet */
+  uint64_t reset_total;
   uint64_t steered_total;
   uint64_t dropped_total[LC_N_DROP_REASONS];
   LcLogLimit drop_limit;
--- a/src/balancer/lc-balancer-settings.h
+++ b/src/balancer/lc-balancer-settings.h
@@ -20,7 +20,10 @@
   uint16_t admin_port;
   uint32_t n_control;
   LcSocketAddress control[LC_BALANCER_MAX_CONTROL]; /* peer addresses of lychee-control */
+  uint16_t control_peer_port;                       /* 0: as in `control` */
+  uint32_t packet_format;                           /* LcPacketFormat */
   uint32_t drain_limit_ms;
+  uint32_t drain_hold_ms; /* a planned stop forwards at least this long */
   uint32_t lease_ms;
 } LcBalancerSettings;
 
--- a/src/balancer/main.c
+++ b/src/balancer/main.c
@@ -16,6 +16,12 @@
   LcHttp admin;
 } LcBalancerProgram;
 
+static bool
+lc_balancer__has_requests (const LcBalancerProgram *p)
+{
+  return p->settings.http_port != 0;
+}
+
 /* === frames and links ======================================================================= */
 
 static void
@@ -23,7 +29,7 @@
 {
   LcBalancerProgram *p = user;
 
-  if (frame->type >= LC_FRAME_REQUEST_FIRST)
+  if (frame->type >= LC_FRAME_REQUEST_FIRST && lc_balancer__has_requests (p))
     lc_balancer_request_frame (&p->request, link, frame);
   else if (frame->type >= LC_FRAME_FLOW_FIRST)
     lc_balancer_flow_frame (&p->flow, link, frame);
@@ -41,7 +47,8 @@
   LC_DEBUG ("peer.down", "why", LC_STR (why));
   lc_member_link_down (&p->member, link);
   lc_balancer_flow_link_down (&p->flow, link);
-  lc_balancer_request_link_down (&p->request, link);
+  if (lc_balancer__has_requests (p))
+    lc_balancer_request_link_down (&p->request, link);
 }
 
 static void
@@ -51,7 +58,8 @@
   LcBalancerProgram *p = user;
 
   lc_balancer_flow_view (&p->flow, view, ops, n_ops, is_reset);
-  lc_balancer_request_view (&p->request, view, ops, n_ops, is_reset);
+  if (lc_balancer__has_requests (p))
+    lc_balancer_request_view (&p->request, view, ops, n_ops, is_reset);
 }
 
 /* === planned stop =========================================================================== */
@@ -63,7 +71,8 @@
 
   lc_member_leave (&p->member);
   lc_balancer_flow_drain (&p->flow);
-  lc_balancer_request_drain (&p->request);
+  if (lc_balancer__has_requests (p))
+    lc_balancer_request_drain (&p->request);
 }
 
 static bool
@@ -72,7 +81,7 @@
   LcBalancerProgram *p = user;
 
   return lc_member_has_left (&p->member) && lc_balancer_flow_is_idle (&p->flow) &&
-         lc_balancer_request_is_idle (&p->request);
+         (!lc_balancer__has_requests (p) || lc_balancer_request_is_idle (&p->request));
 }
 
 static bool
@@ -80,7 +89,8 @@
 {
   LcBalancerProgram *p = user;
 
-  return !p->app.is_draining && lc_member_view (&p->member)->revision > 0;
+  return !p->app.is_draining && lc_member_view (&p->member)->revision > 0 &&
+         lc_member_is_confirmed (&p->member);
 }
 
 /* === start ================================================================================== */
@@ -119,7 +129,9 @@
   LcBalancerRequestDesc request = { &p->app, &p->settings, &p->member, instance };
   int r = lc_balancer_flow_init (&p->flow, &flow, error);
 
-  return r < 0 ? r : lc_balancer_request_init (&p->request, &request, error);
+  if (r < 0 || !lc_balancer__has_requests (p))
+    return r;
+  return lc_balancer_request_init (&p->request, &request, error);
 }
 
 static int
@@ -160,6 +172,7 @@
   if (r != LC_APP_RUN)
     return lc_app_exit_code (r);
   lc_log_init (p.app.log_level, "lychee-balancer", p.settings.name);
+  lc_settings_set_ports (p.settings.control, p.settings.n_control, p.settings.control_peer_port);
   r = lc_balancer__start (&p, &error);
   if (r < 0)
     {
@@ -170,7 +183,8 @@
   r = lc_app_run (&p.app, &p, p.settings.drain_limit_ms, lc_balancer__on_drain,
                   lc_balancer__is_idle);
   lc_link_server_finish (&p.peers);
-  lc_balancer_request_finish (&p.request);
+  if (lc_balancer__has_requests (&p))
+    lc_balancer_request_finish (&p.request);
   lc_balancer_flow_finish (&p.flow);
   lc_member_finish (&p.member);
   lc_http_finish (&p.admin);
--- a/src/control/lc-control-codec.c
+++ b/src/control/lc-control-codec.c
@@ -177,6 +177,34 @@
   return m->balancer != NULL && lc_wire_balancer_read (&change->balancer, m->balancer, NULL) == 0;
 }
 
+static Lc__Wire__NumberedDeclaration *
+lc_codec__write_numbered (LcArena *arena, const LcNumberedDeclaration *n)
+{
+  Lc__Wire__NumberedDeclaration *m = lc_codec__new (arena, 1, sizeof *m);
+  LcIntent intent = { .kind = LC_INTENT_APPLY, .declaration = n->declaration };
+
+  lc__wire__numbered_declaration__init (m);
+  m->number = n->number;
+  m->intent = lc_codec__write_intent (arena, &intent);
+  m->document = lc_codec__binary (n->document);
+  return m;
+}
+
+static bool
+lc_codec__read_numbered (LcNumberedDeclaration *n, const Lc__Wire__NumberedDeclaration *m)
+{
+  LcIntent intent = { 0 };
+  bool ok;
+
+  if (m == NULL || m->number == 0)
+    return false;
+  ok = lc_codec__read_intent (&intent, m->intent);
+  n->number = m->number;
+  n->declaration = intent.declaration;
+  n->document = g_bytes_new (m->document.data, m->document.len);
+  return ok;
+}
+
 GBytes *
 lc_control_command_pack (const LcControlCommand *command)
 {
@@ -200,6 +228,9 @@
     case LC_COMMAND_MEMBER:
       m.member = lc_codec__write_member (arena, &command->member);
       break;
+    case LC_COMMAND_NUMBERED:
+      m.numbered = lc_codec__write_numbered (arena, &command->numbered);
+      break;
     }
   bytes = lc_codec__pack (&m.base);
   g_ptr_array_unref (arena);
@@ -226,6 +257,8 @@
     case LC_COMMAND_REPLACED:
       command->plan_id = m->plan_id;
       return true;
+    case LC_COMMAND_NUMBERED:
+      return lc_codec__read_numbered (&command->numbered, m->numbered);
     default:
       return false;
     }
--- a/src/control/lc-control-http.c
+++ b/src/control/lc-control-http.c
@@ -2,6 +2,7 @@
 
 #include "io/lc-clock.h"
 #include "lc-control-json.h"
+#include "platform/lc-platform-declaration.h"
 
 #include <string.h>
 
@@ -98,6 +99,23 @@
     slot->wait->req = NULL;
 }
 
+/* A numbered declaration is answered once it, or one above it, is in force in this VM's state. */
+static bool
+lc_control_http__try_numbered (LcControlHttp *http, LcControlWait *wait)
+{
+  const LcControlState *state = lc_replica_state (http->desc.replica);
+  json_t *body;
+
+  if (state->numbered.number < wait->command.numbered.number)
+    return false;
+  if (wait->req == NULL)
+    return true;
+  body = json_object ();
+  (void)json_object_set_new (body, "revision", json_integer ((json_int_t)state->numbered.revision));
+  lc_control_http__send (wait->req, 200, body);
+  return true;
+}
+
 /* Whether it is answered: its answer is in the state. */
 static bool
 lc_control_http__try_answer (LcControlHttp *http, LcControlWait *wait)
@@ -106,6 +124,8 @@
   const LcControlAnswer *answer = lc_control_state_answer (state, wait->command.request_id);
   LcError error = { 0 };
 
+  if (wait->command.kind == LC_COMMAND_NUMBERED)
+    return lc_control_http__try_numbered (http, wait);
   if (answer == NULL)
     return false;
   if (wait->req != NULL && lc_control_answer_matches (answer, &wait->command))
@@ -242,6 +262,101 @@
   lc_control_http__wait (http, req, &command);
 }
 
+/* === private: numbered declarations ========================================================= */
+
+static void
+lc_control_http__declare (LcControlHttp *http, h2o_req_t *req)
+{
+  LcControlCommand command = { .kind = LC_COMMAND_NUMBERED };
+  LcError error = { 0 };
+  int r =
+      lc_platform_declaration_read (&command.numbered, req->entity.base, req->entity.len, &error);
+
+  if (r == 0 && http->waiting->len >= LC_CONTROL_HTTP_WAITING_MAX)
+    r = lc_error_set (&error, LC_ERR_UNAVAILABLE, "send it again in a second",
+                      "%d requests wait already", LC_CONTROL_HTTP_WAITING_MAX);
+  if (r < 0)
+    {
+      LC_INFO ("declaration.refused", "message", LC_STR (error.message));
+      lc_control_command_finish (&command);
+      lc_control_http__fail (http, req, &error);
+      return;
+    }
+  (void)g_strlcpy (command.who, "declaration", sizeof command.who);
+  command.wall_us = lc_clock_wall_us ();
+  lc_control_http__wait (http, req, &command);
+}
+
+/* The address of another control VM's HTTP port: all of them use the same one. */
+static void
+lc_control_http__redirect (LcControlHttp *http, h2o_req_t *req, const LcRaftMember *to)
+{
+  char *location = g_strdup_printf (
+      "http://%u.%u.%u.%u:%u%.*s", to->ipv4 >> 24, (to->ipv4 >> 16) & 255, (to->ipv4 >> 8) & 255,
+      to->ipv4 & 255, http->desc.settings->http_port, (int)req->path.len, req->path.base);
+  h2o_iovec_t value = h2o_strdup (&req->pool, location, SIZE_MAX);
+
+  g_free (location);
+  h2o_add_header (&req->pool, &req->res.headers, H2O_TOKEN_LOCATION, NULL, value.base, value.len);
+  lc_http_answer (req, 307, NULL, "{}", 2);
+}
+
+/* Only the leader under its lease knows which declaration is the newest. */
+static void
+lc_control_http__show_declaration (LcControlHttp *http, h2o_req_t *req)
+{
+  LcReplica *replica = http->desc.replica;
+  const LcControlNumbered *numbered = &lc_replica_state (replica)->numbered;
+  const LcRaftMember *leader = lc_replica_leader (replica);
+  LcError error = { 0 };
+  gsize len;
+  const char *document;
+
+  if (!lc_replica_can_read (replica))
+    {
+      if (leader != NULL && leader->id != replica->id)
+        {
+          lc_control_http__redirect (http, req, leader);
+          return;
+        }
+      (void)lc_error_set (&error, LC_ERR_UNAVAILABLE,
+                          "ask again in a second, or another control VM",
+                          "this control VM can't be sure which declaration is the newest");
+      lc_control_http__fail (http, req, &error);
+      return;
+    }
+  if (numbered->document == NULL)
+    {
+      (void)lc_error_set (&error, LC_ERR_NOT_FOUND, "declare one first",
+                          "there is no numbered declaration yet");
+      lc_control_http__fail (http, req, &error);
+      return;
+    }
+  document = g_bytes_get_data (numbered->document, &len);
+  lc_http_answer (req, 200, NULL, document, len);
+}
+
+/* Whether it was a call of the platform's operators. */
+static bool
+lc_control_http__platform (LcControlHttp *http, h2o_req_t *req)
+{
+  LcPlatformCall call = { req->method.base,         req->method.len,  req->path_normalized.base,
+                          req->path_normalized.len, req->entity.base, req->entity.len };
+
+  switch (lc_platform_declaration_call (&call))
+    {
+    case LC_PLATFORM_DECLARE:
+      lc_control_http__declare (http, req);
+      return true;
+    case LC_PLATFORM_SHOW:
+      lc_control_http__show_declaration (http, req);
+      return true;
+    case LC_PLATFORM_OTHER:
+      break;
+    }
+  return false;
+}
+
 /* === private: status ======================================================================== */
 
 static json_t *
@@ -467,7 +582,7 @@
                         req->path_normalized.base + sizeof PLANS - 1);
       lc_control_http__plan (http, req, digits);
     }
-  else
+  else if (!lc_control_http__platform (http, req))
     return -1;
   return 0;
 }
@@ -484,6 +599,8 @@
                           .user = http,
                           .request = lc_control_http__on_request };
 
+  if (desc->settings->admin_port == 0)
+    listener.metrics = m;
   memset (http, 0, sizeof *http);
   http->desc = *desc;
   http->waiting = g_ptr_array_new_with_free_func (lc_control_http__free_wait);
--- a/src/control/lc-control-settings.h
+++ b/src/control/lc-control-settings.h
@@ -25,6 +25,7 @@
   char data_folder[256];
   LcSocketAddress members[LC_CONTROL_MEMBERS_MAX];
   uint32_t n_members;
+  uint16_t members_peer_port; /* 0: as in `members` */
   uint32_t heartbeat_ms;
   uint32_t election_min_ms;
   uint32_t election_max_ms;
--- a/src/control/lc-control-state-codec.c
+++ b/src/control/lc-control-state-codec.c
@@ -184,6 +184,9 @@
   m->replacement_ipv4 = state->replace.replacement.ipv4;
   m->replacement_peer_port = state->replace.replacement.peer_port;
   m->replacement_http_port = state->replace.replacement.http_port;
+  m->numbered_number = state->numbered.number;
+  m->numbered_document = lc_codec__binary (state->numbered.document);
+  m->numbered_revision = state->numbered.revision;
 }
 
 GBytes *
@@ -340,6 +343,10 @@
   state->replace.replacement.ipv4 = m->replacement_ipv4;
   state->replace.replacement.peer_port = (uint16_t)m->replacement_peer_port;
   state->replace.replacement.http_port = (uint16_t)m->replacement_http_port;
+  state->numbered.number = m->numbered_number;
+  state->numbered.revision = m->numbered_revision;
+  if (m->numbered_number != 0)
+    state->numbered.document = g_bytes_new (m->numbered_document.data, m->numbered_document.len);
   return lc_codec__copy (state->replace.old_name, LC_NAME_MAX, m->replace_old_name) &&
          lc_codec__copy (state->replace.replacement.name, LC_NAME_MAX, m->replacement_name);
 }
--- a/src/control/lc-distributor.c
+++ b/src/control/lc-distributor.c
@@ -193,6 +193,13 @@
   LcError error = { 0 };
   LcMemberChange change;
 
+  if (hello->member != NULL && lc_wire_member_change_read (&change, hello->member, &error) == 0 &&
+      change.kind == LC_MEMBER_ENDPOINT_ANNOUNCED)
+    {
+      /* An agent that looks for balancers: it gets its view here, and its lease from them. */
+      lc_distributor__send_status (d, link, false, now_us);
+      return;
+    }
   if (hello->member == NULL || lc_wire_member_change_read (&change, hello->member, &error) < 0 ||
       change.kind != LC_MEMBER_BALANCER_ANNOUNCED)
     {
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -157,7 +157,7 @@
                              .port = p->settings.peer_port,
                              .max_links = LC_CONTROL_MAX_LINKS,
                              .handler = { p, lc_control__on_frame, NULL, lc_control__on_down } };
-  int r = lc_http_init (&p->admin, &admin, error);
+  int r = p->settings.admin_port != 0 ? lc_http_init (&p->admin, &admin, error) : 0;
 
   if (r == 0)
     r = lc_control__start_replica (p, error);
@@ -171,7 +171,8 @@
   lc_distributor_free (p->distributor);
   lc_control_http_finish (&p->http);
   lc_replica_finish (&p->replica);
-  lc_http_finish (&p->admin);
+  if (p->settings.admin_port != 0)
+    lc_http_finish (&p->admin);
   lc_app_finish (&p->app);
 }
 
@@ -189,6 +190,7 @@
   if (r != LC_APP_RUN)
     return lc_app_exit_code (r);
   lc_log_init (p.app.log_level, "lychee-control", p.settings.name);
+  lc_settings_set_ports (p.settings.members, p.settings.n_members, p.settings.members_peer_port);
   r = lc_control__start (&p, &error);
   if (r < 0)
     {
--- a/src/controller/lc-member-choose.c
+++ b/src/controller/lc-member-choose.c
@@ -132,7 +132,11 @@
 /* A slot that may take another upstream now: an unused or silent one at once; one that works but
  * is no longer among the best after a random while, so that agents don't all move together. */
 static LcMemberSlot *
-lc_member__free_slot (LcMember *member, const LcUpstream *best, uint32_t n_best, int64_t now_us)
+lc_member__free_slot (LcMember *member,
+                      const LcUpstreams *from,
+                      const LcUpstream *best,
+                      uint32_t n_best,
+                      int64_t now_us)
 {
   for (uint32_t i = member->first_moving; i < member->n_slots; i++)
     {
@@ -146,6 +150,8 @@
           slot->move_at_us = 0;
           continue;
         }
+      if (lc_upstreams_rank (from, slot->address.ipv4, slot->address.port) == UINT32_MAX)
+        return slot; /* a seed, or one that left: there are better ones now */
       if (slot->move_at_us == 0)
         slot->move_at_us = now_us + lc_member__jitter_us (LC_MEMBER_REBALANCE_MS * LC_US_PER_MS);
       else if (now_us >= slot->move_at_us)
@@ -178,7 +184,7 @@
 
       if (lc_member__slot_at (member, best[i].ipv4, best[i].port) != NULL)
         continue;
-      slot = lc_member__free_slot (member, best, n_best, now_us);
+      slot = lc_member__free_slot (member, from, best, n_best, now_us);
       if (slot != NULL)
         lc_member__move (member, slot, &best[i], now_us);
     }
--- a/src/controller/lc-member-private.h
+++ b/src/controller/lc-member-private.h
@@ -22,6 +22,7 @@
 /* What this slot is told to have been reached by this node and those below it. */
 void lc_member__fold (LcMember *member, uint32_t slot_index, LcFold *fold);
 void lc_member__send_renew (LcMemberSlot *slot, LcMemberPhase phase, int64_t now_us);
+void lc_member__hello_all (LcMember *member);
 void lc_member__renew_all_soon (LcMember *member);
 void lc_member__on_upstream_frame (void *user, LcLink *link, const LcFrame *frame);
 void lc_member__on_upstream_up (void *user, LcLink *link);
--- a/src/controller/lc-member-upstream.c
+++ b/src/controller/lc-member-upstream.c
@@ -50,8 +50,8 @@
                                               : member->desc.balancer.name;
 }
 
-static LcInstance
-lc_member__instance (const LcMember *member)
+LcInstance
+lc_member_instance (const LcMember *member)
 {
   return member->desc.kind == LC_MEMBER_AGENT ? member->desc.endpoint.instance
                                               : member->desc.balancer.instance;
@@ -107,6 +107,7 @@
   change->balancer = member->desc.balancer;
 }
 
+/* A member that is held says that it listens by a renewal: it is not known, but answered. */
 static void
 lc_member__send_hello (LcMemberSlot *slot, LcLink *link)
 {
@@ -183,7 +184,7 @@
   lc_member__fold (member, lc_member__index (slot), &fold);
   lc_wire_member_fold_write (&wire, &fold);
   message.name = (char *)lc_member__name (member);
-  message.instance = lc_member__instance (member);
+  message.instance = lc_member_instance (member);
   message.phase = phase;
   message.is_ramped = member->is_ramped;
   message.is_balancer = member->desc.kind == LC_MEMBER_BALANCER;
@@ -347,7 +348,7 @@
     }
   if (status->is_confirmed && slot->is_subscribed && member->sync.view.revision > 0)
     member->is_confirmed = true;
-  if (status->needs_hello)
+  if (status->needs_hello && !member->is_held)
     lc_member__send_hello (slot, lc_member__link (slot));
   lc__wire__member_status__free_unpacked (status, NULL);
 }
@@ -404,7 +405,18 @@
   slot->opened_us = now_us;
   slot->subscribe_at_us = 0;
   slot->renew_at_us = 0;
-  lc_member__send_hello (slot, link);
+  if (slot->member->is_held)
+    lc_member__send_renew (slot, LC_MEMBER_PHASE_LIVE, now_us);
+  else
+    lc_member__send_hello (slot, link);
+}
+
+void
+lc_member__hello_all (LcMember *member)
+{
+  for (uint32_t i = 0; i < member->n_slots; i++)
+    if (lc_member__link (&member->slots[i]) != NULL)
+      lc_member__send_hello (&member->slots[i], lc_member__link (&member->slots[i]));
 }
 
 void
--- a/src/controller/lc-member.c
+++ b/src/controller/lc-member.c
@@ -116,6 +116,7 @@
   memset (member, 0, sizeof *member);
   member->desc = *desc;
   member->primary = UINT32_MAX;
+  member->is_held = desc->is_held;
   member->balancers_seen_revision = -1;
   member->started_us = lc_clock_now_us ();
   member->first_moving = desc->kind == LC_MEMBER_AGENT ? 0 : desc->n_upstreams;
@@ -154,7 +155,8 @@
     {
       LcMemberSlot *slot = &member->slots[i];
 
-      if (member->phase == LC_MEMBER_PHASE_LEAVING && lc_member__link (slot) != NULL)
+      if (member->phase == LC_MEMBER_PHASE_LEAVING && !member->is_kept &&
+          lc_member__link (slot) != NULL)
         lc_member__send_renew (slot, LC_MEMBER_PHASE_GONE, now_us);
       if (slot->is_open)
         lc_link_client_finish (&slot->client);
@@ -181,6 +183,43 @@
   return lc_view_endpoint_by_name (&member->sync.view, member->desc.endpoint.name);
 }
 
+bool
+lc_member_resume (LcMember *member)
+{
+  const LcEndpoint *e = lc_member_endpoint (member);
+  const LcService *s = e != NULL ? lc_view_service (&member->sync.view, e->service_id) : NULL;
+
+  if (!member->is_held || s == NULL || strcmp (s->name, member->desc.service) != 0 ||
+      e->ipv4 != member->desc.endpoint.ipv4)
+    return false;
+  member->desc.endpoint.instance = e->instance;
+  return true;
+}
+
+void
+lc_member_announce (LcMember *member, LcInstance instance, uint8_t slots)
+{
+  bool is_other = member->desc.endpoint.instance != instance;
+
+  member->is_held = false;
+  member->desc.endpoint.instance = instance;
+  if (slots != 0)
+    member->desc.endpoint.slots = slots;
+  if (is_other)
+    {
+      member->phase = LC_MEMBER_PHASE_LIVE;
+      member->is_ramped = false;
+      member->seen_us = 0;
+    }
+  lc_member__hello_all (member);
+}
+
+void
+lc_member_keep (LcMember *member)
+{
+  member->is_kept = true;
+}
+
 void
 lc_member_set_registered (LcMember *member, LcRevision revision)
 {
--- a/src/controller/lc-member.h
+++ b/src/controller/lc-member.h
@@ -65,6 +65,7 @@
   uint32_t n_upstreams;
   uint32_t lease_ms; /* 0: 3000; renewed three times in that */
   uint32_t ramp_ms;  /* agents: from the first sight of itself in the view to "ramped" */
+  bool is_held;      /* agents: listen only, until lc_member_announce */
   void *user;
   /* `ops` are what was just applied; `is_reset` says that the view was replaced by a snapshot. */
   void (*changed) (
@@ -109,6 +110,8 @@
   int64_t behind_us;     /* 0, or since when another upstream has had a newer view */
   LcTimer tick;
   bool is_started;
+  bool is_held; /* nothing was announced yet */
+  bool is_kept; /* the end of this process is not the end of the endpoint */
   LcMemberPhase phase;
   bool is_ramped;
   int64_t started_us;
@@ -141,6 +144,15 @@
 const LcView *lc_member_view (const LcMember *member);
 /* This agent's endpoint in the view, or NULL before it is committed. */
 const LcEndpoint *lc_member_endpoint (const LcMember *member);
+/* Agents that are held: takes over the instance that the view still knows of this endpoint, so that
+ * a restarted agent is the one that its peers know.  False: the view has none that fits. */
+bool lc_member_resume (LcMember *member);
+/* Agents: announces the endpoint under this instance from now on, with the slots that it has. */
+void lc_member_announce (LcMember *member, LcInstance instance, uint8_t slots);
+/* The process ends, but what it announced stays: another process goes on for it. */
+void lc_member_keep (LcMember *member);
+/* The instance that this agent or balancer speaks under. */
+LcInstance lc_member_instance (const LcMember *member);
 void lc_member_frame (LcMember *member, LcLink *link, const LcFrame *frame);
 void lc_member_link_down (LcMember *member, LcLink *link);
 void lc_member_leave (LcMember *member);
--- a/src/core/control/lc-control-private.h
+++ b/src/core/control/lc-control-private.h
@@ -12,4 +12,13 @@
 /* lc-control-member.c */
 void lc_control__member (LcControlState *state, LcRevision revision, const LcMemberChange *change);
 
+/* lc-control-numbered.c: false when the number is not above the one that is held. */
+bool lc_control__declare_numbered (LcControlState *state,
+                                   LcRevision revision,
+                                   const LcNumberedDeclaration *numbered);
+void lc_control__keep_document (LcControlState *state,
+                                uint64_t number,
+                                GBytes *document,
+                                LcRevision revision);
+
 #endif /* LC_CONTROL_PRIVATE_H */
--- a/src/core/control/lc-control-state.c
+++ b/src/core/control/lc-control-state.c
@@ -57,6 +57,7 @@
   g_ptr_array_unref (state->plans);
   g_array_unref (state->history);
   g_array_unref (state->ops);
+  g_clear_pointer (&state->numbered.document, g_bytes_unref);
   memset (state, 0, sizeof *state);
 }
 
@@ -72,6 +73,8 @@
 {
   if (command->kind == LC_COMMAND_PLAN)
     lc_intent_finish (&command->intent);
+  else if (command->kind == LC_COMMAND_NUMBERED)
+    lc_numbered_finish (&command->numbered);
 }
 
 /* === private: view, history, answers ======================================================== */
@@ -395,6 +398,23 @@
   memset (&state->replace, 0, sizeof state->replace);
 }
 
+static void
+lc_control__numbered (LcControlState *state, LcRevision index, const LcControlCommand *c)
+{
+  char summary[LC_CONTROL_SUMMARY_MAX];
+
+  if (!lc_control__declare_numbered (state, index, &c->numbered))
+    {
+      state->duplicates_total++;
+      return;
+    }
+  state->config_revision = index;
+  lc_control__supersede (state);
+  (void)g_snprintf (summary, sizeof summary, "declaration %" G_GUINT64_FORMAT,
+                    (guint64)c->numbered.number);
+  lc_control__record (state, index, c, 0, "declare", summary);
+}
+
 void
 lc_control_state_apply (LcControlState *state, LcRevision index, const LcControlCommand *c)
 {
@@ -416,6 +436,9 @@
     case LC_COMMAND_REPLACED:
       lc_control__replaced (state, index, c);
       break;
+    case LC_COMMAND_NUMBERED:
+      lc_control__numbered (state, index, c);
+      break;
     }
 }
 
--- a/src/core/control/lc-control-state.h
+++ b/src/core/control/lc-control-state.h
@@ -22,6 +22,9 @@
  *   - A plan that would leave a service with no endpoint or cut flows is refused unless the intent
  *     says that it may.
  *   - Member changes that change nothing, or name an instance that was replaced, are ignored.
+ *   - A numbered declaration is in force once it is applied, unless one with its number or a higher
+ *     one was before; plans made before it are superseded.  Whoever sent it has its answer when
+ *     state.numbered.number has reached its number.
  *   - An operator's drain belongs to the endpoint's name and stays over restarts of its agent.
  *
  * LIFETIME
@@ -32,7 +35,7 @@
 
 #include "core/lc-view.h"
 #include "core/member/lc-member-change.h"
-#include "lc-intent.h"
+#include "lc-numbered.h"
 
 #ifdef __cplusplus
 extern "C"
@@ -54,6 +57,7 @@
     LC_COMMAND_CONFIRM = 2,
     LC_COMMAND_MEMBER = 3,
     LC_COMMAND_REPLACED = 4, /* the change of control VMs is done; by the leader itself */
+    LC_COMMAND_NUMBERED = 5, /* a numbered declaration: lc-numbered.h */
   } LcControlCommandKind;
 
   typedef struct
@@ -67,6 +71,7 @@
       LcIntent intent;
       uint64_t plan_id;
       LcMemberChange member;
+      LcNumberedDeclaration numbered;
     };
   } LcControlCommand;
 
@@ -148,6 +153,14 @@
     LcControlAddress replacement;
   } LcControlReplace;
 
+  /* The numbered declaration in force. */
+  typedef struct
+  {
+    uint64_t number;     /* 0: there was none yet */
+    GBytes *document;    /* as it was sent */
+    LcRevision revision; /* that put it in force */
+  } LcControlNumbered;
+
   typedef struct
   {
     LcView view;
@@ -160,6 +173,7 @@
     GPtrArray *plans;           /* LcPlan, oldest first */
     GArray *history;            /* LcAudit, oldest first */
     LcControlReplace replace;
+    LcControlNumbered numbered;
     uint32_t next_service_id;
     uint32_t next_endpoint_id;
     uint32_t next_balancer_id;
--- a/src/core/control/lc-intent.h
+++ b/src/core/control/lc-intent.h
@@ -28,7 +28,7 @@
 
   enum
   {
-    LC_DECLARATION_MAX = 1024,
+    LC_DECLARATION_MAX = 8192,
   };
 
   typedef enum
--- a/src/core/flow/lc-assign.c
+++ b/src/core/flow/lc-assign.c
@@ -60,6 +60,10 @@
     peer.joined_us = 0;
   else if (peer.joined_us == 0)
     peer.joined_us = now_us;
+  if (e->state != LC_ENDPOINT_LOST)
+    peer.lost_us = 0;
+  else if (peer.lost_us == 0)
+    peer.lost_us = now_us;
   return peer;
 }
 
--- a/src/core/flow/lc-assign.h
+++ b/src/core/flow/lc-assign.h
@@ -81,6 +81,7 @@
     int64_t reported_us;
     int64_t refusing_until_us;
     int64_t joined_us; /* when this agent first saw it JOINING; 0: ramped */
+    int64_t lost_us;   /* when this agent first saw it LOST; 0: it is not */
     bool is_candidate;
     bool is_accepting;
     bool looks_bad;
--- /dev/null
+++ b/src/core/flow/lc-flow-agent-private.h
@@ -0,0 +1,42 @@
+/* lc-flow-agent-private: steps that both steering rules share; not for others.
+ *
+ * lc-flow-agent.c steers by lists and marks; lc-flow-return.c steers where backend servers return
+ * what they do not hold.
+ */
+#ifndef LC_FLOW_AGENT_PRIVATE_H
+#define LC_FLOW_AGENT_PRIVATE_H
+
+#include "lc-flow-agent.h"
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  LcSteerKnown lc_flow_agent__known (const LcFlowAgent *agent, const LcFlow *flow);
+  bool lc_flow_agent__is_accepting (const LcFlowAgent *agent);
+  LcFlowAction lc_flow_agent__drop (LcFlowAgent *agent, LcDropReason reason);
+  LcFlowAction lc_flow_agent__send (LcFlowAgent *agent,
+                                    LcEnvelope *envelope,
+                                    LcEnvelopeMode mode,
+                                    const LcCandidate *to);
+  LcFlowAction lc_flow_agent__deliver (
+      LcFlowAgent *agent, LcFlow *flow, const LcPacket *packet, bool is_new, int64_t now_us);
+  /* `flow` may be NULL: an entry is made. */
+  LcFlowAction
+  lc_flow_agent__take (LcFlowAgent *agent, LcFlow *flow, const LcPacket *packet, int64_t now_us);
+  /* Chooses an endpoint for a new flow: takes it, or sends the packet there. */
+  LcFlowAction lc_flow_agent__assign (LcFlowAgent *agent,
+                                      LcEnvelope *envelope,
+                                      LcFlow *flow,
+                                      const LcPacket *packet,
+                                      int64_t now_us);
+  /* Back to the assigner, with the reason. */
+  LcFlowAction
+  lc_flow_agent__refuse (LcFlowAgent *agent, LcEnvelope *envelope, LcDropReason reason);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif /* LC_FLOW_AGENT_PRIVATE_H */
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -1,6 +1,7 @@
-#include "lc-flow-agent.h"
+#include "lc-flow-agent-private.h"
 #include "lc-flow-list.h"
 #include "lc-flow-pointers.h"
+#include "lc-flow-return.h"
 
 #include <string.h>
 
@@ -35,7 +36,7 @@
                         .is_settled = lc_candidate_sets_settled (&a->sets) };
 }
 
-static LcSteerKnown
+LcSteerKnown
 lc_flow_agent__known (const LcFlowAgent *a, const LcFlow *f)
 {
   LcSteerKnown known = { .kind = LC_FLOW_FREE };
@@ -53,6 +54,15 @@
   return known;
 }
 
+bool
+lc_flow_agent__is_accepting (const LcFlowAgent *a)
+{
+  if (a->is_leaving || a->is_without_backend)
+    return false;
+  /* Where backend servers return what is not theirs, an agent that counts as lost does no harm. */
+  return a->desc.is_returning || !a->is_cut_off;
+}
+
 /* Tells the assigner's knowledge of this agent itself, which needs no message. */
 static void
 lc_flow_agent__refresh_self (LcFlowAgent *a)
@@ -63,7 +73,7 @@
     return;
   self->open_flows = lc_flow_agent_open_flows (a);
   self->byte_rate = a->byte_rate;
-  self->is_accepting = !a->is_leaving && !a->is_cut_off;
+  self->is_accepting = lc_flow_agent__is_accepting (a);
   self->looks_bad = a->looks_bad;
   self->is_warm = a->is_warm;
 }
@@ -76,14 +86,14 @@
 
 /* === private: sending on ==================================================================== */
 
-static LcFlowAction
+LcFlowAction
 lc_flow_agent__drop (LcFlowAgent *a, LcDropReason reason)
 {
   a->counts.dropped_total[reason]++;
   return (LcFlowAction){ .kind = LC_FLOW_ACTION_DROP, .reason = reason };
 }
 
-static LcFlowAction
+LcFlowAction
 lc_flow_agent__send (LcFlowAgent *a, LcEnvelope *e, LcEnvelopeMode mode, const LcCandidate *to)
 {
   LcFlowAction action = { .kind = LC_FLOW_ACTION_SEND };
@@ -108,7 +118,7 @@
 
 /* === private: taking and assigning ========================================================== */
 
-static LcFlowAction
+LcFlowAction
 lc_flow_agent__deliver (LcFlowAgent *a, LcFlow *f, const LcPacket *packet, bool is_new, int64_t now)
 {
   LcFlowAction action = { .kind = LC_FLOW_ACTION_DELIVER };
@@ -138,7 +148,7 @@
   return action;
 }
 
-static LcFlowAction
+LcFlowAction
 lc_flow_agent__take (LcFlowAgent *a, LcFlow *f, const LcPacket *packet, int64_t now_us)
 {
   if (f == NULL)
@@ -181,7 +191,7 @@
   return true;
 }
 
-static LcFlowAction
+LcFlowAction
 lc_flow_agent__assign (
     LcFlowAgent *a, LcEnvelope *e, LcFlow *f, const LcPacket *packet, int64_t now_us)
 {
@@ -290,7 +300,7 @@
   return lc_flow_agent__defer (a, e, packet, &assigner, now_us, may_renew);
 }
 
-static LcFlowAction
+LcFlowAction
 lc_flow_agent__refuse (LcFlowAgent *a, LcEnvelope *e, LcDropReason reason)
 {
   LcCandidate assigner = e->candidates[e->assigner];
@@ -478,6 +488,9 @@
   lc_flow_table_init (&a->table, d->max_flows, now_us);
   lc_assign_init (&a->assign, &d->assign);
   a->outbox = g_queue_new ();
+  if (d->is_returning)
+    a->searches = g_new0 (LcFlowSearches, 1);
+  a->resets = g_array_new (FALSE, FALSE, sizeof (LcPacket));
 }
 
 void
@@ -489,6 +502,8 @@
   lc_candidate_sets_finish (&a->previous_sets);
   lc_candidate_sets_finish (&a->settling_sets);
   g_queue_free_full (a->outbox, g_free);
+  g_free (a->searches);
+  g_array_unref (a->resets);
   memset (a, 0, sizeof *a);
 }
 
@@ -517,6 +532,8 @@
 
   if (a->view == NULL)
     return lc_flow_agent__drop (a, LC_DROP_NO_SERVICE);
+  if (a->desc.is_returning)
+    return lc_flow_return_packet (a, e, packet, now_us);
   if (lc_flow_list_is_stale (a, e))
     is_renewed = lc_flow_list_renew (a, e, packet);
   lc_flow_list_correct_rank (a, e);
@@ -547,6 +564,9 @@
     case LC_FLOW_HAND_OVER_ACK:
       lc_flow_pointers_adopted (a, m, now_us);
       break;
+    case LC_FLOW_DENIED:
+      lc_flow_return_denied (a, m, now_us);
+      break;
     case LC_FLOW_LOAD:
     default:
       break;
@@ -582,7 +602,7 @@
   out->load.open_flows = lc_flow_agent_open_flows (a);
   out->load.byte_rate = a->byte_rate;
   out->load.is_accepting =
-      !a->is_leaving && !a->is_cut_off && out->load.open_flows < a->desc.connection_limit;
+      lc_flow_agent__is_accepting (a) && out->load.open_flows < a->desc.connection_limit;
   out->load.looks_bad = a->looks_bad;
   out->load.is_warm = a->is_warm;
   return true;
@@ -596,6 +616,18 @@
   a->is_cut_off = is_cut_off;
 }
 
+void
+lc_flow_agent_set_without_backend (LcFlowAgent *a, bool is_without)
+{
+  a->is_without_backend = is_without;
+}
+
+void
+lc_flow_agent_set_dc (LcFlowAgent *a, LcDcId dc)
+{
+  a->dc = dc;
+}
+
 void
 lc_flow_agent_set_looks_bad (LcFlowAgent *a, bool looks_bad)
 {
--- a/src/core/flow/lc-flow-agent.h
+++ b/src/core/flow/lc-flow-agent.h
@@ -37,6 +37,7 @@
 #define LC_FLOW_AGENT_H
 
 #include "lc-flow-message.h"
+#include "lc-flow-search.h"
 #include "lc-steer.h"
 
 #ifdef __cplusplus
@@ -63,6 +64,7 @@
     uint32_t registrations_tick; /* owned flows sent again a tick after a change; 0: 64 */
     uint32_t backend_ipv4;       /* named in hand-overs */
     uint16_t backend_port;
+    bool is_returning; /* the backend server returns what it does not hold: lc-flow-return.h */
     LcAssignDesc assign;
   } LcFlowAgentDesc;
 
@@ -71,6 +73,11 @@
     LC_FLOW_ACTION_DELIVER = 1,
     LC_FLOW_ACTION_SEND = 2, /* the envelope was rewritten; send it to ipv4 and port */
     LC_FLOW_ACTION_DROP = 3,
+
+    /* Where backend servers return what they do not hold: */
+    LC_FLOW_ACTION_TRY = 4,    /* give it to the backend server with try_mark; nobody owns it yet */
+    LC_FLOW_ACTION_SEARCH = 5, /* ask every other agent of the service, and here if is_here */
+    LC_FLOW_ACTION_RESET = 6,  /* tell the caller that the flow can't be opened, for `reason` */
   } LcFlowActionKind;
 
   typedef struct
@@ -84,6 +91,7 @@
         bool is_new;           /* taken by this packet */
         uint32_t backend_ipv4; /* of an adopted flow; 0: this agent's own backend server */
         uint16_t backend_port;
+        uint32_t mark; /* comes back with the packet if it is returned */
       } deliver;
       struct
       {
@@ -91,6 +99,8 @@
         uint16_t port;
       } send;
       LcDropReason reason;
+      uint32_t try_mark;
+      bool is_here;
     };
   } LcFlowAction;
 
@@ -106,6 +116,9 @@
     uint64_t adopted_total;
     uint64_t broken_total; /* flows of owners that are gone, seen by their first home */
     uint64_t messages_total;
+    uint64_t returned_total; /* packets that the backend server did not hold the flow of */
+    uint64_t searched_total; /* packets that every agent of the service was asked about */
+    uint64_t denied_total;   /* searches that ended with nobody holding the flow */
     uint64_t dropped_total[LC_N_DROP_REASONS];
   } LcFlowAgentCounts;
 
@@ -124,8 +137,10 @@
     uint32_t n_behind;
     uint32_t n_adopted; /* owned, of another's backend server */
     uint32_t n_ended;   /* owned and not adopted, waiting for stragglers after the last packet */
+    LcDcId dc;          /* of this agent */
     bool is_leaving;
     bool is_cut_off;
+    bool is_without_backend; /* its backend server has not reported itself, or is silent */
     bool is_handing_over;
     bool looks_bad;
     bool is_warm; /* flows of its backend server were handed back to it */
@@ -138,7 +153,9 @@
     uint64_t bytes_window;
     int64_t bytes_since_us;
     uint32_t byte_rate;
-    GQueue *outbox; /* LcFlowMessage, owned */
+    GQueue *outbox;           /* LcFlowMessage, owned */
+    LcFlowSearches *searches; /* owned; NULL: backend servers don't return packets */
+    GArray *resets;           /* LcPacket: flows that nobody holds */
     LcFlowAgentCounts counts;
   } LcFlowAgent;
 
@@ -157,6 +174,9 @@
 
   /* Whether upstream was last heard so long ago that this endpoint may count as lost. */
   void lc_flow_agent_set_cut_off (LcFlowAgent *agent, bool is_cut_off);
+  /* Whether there is a backend server that may take new flows, as far as it reports itself. */
+  void lc_flow_agent_set_without_backend (LcFlowAgent *agent, bool is_without);
+  void lc_flow_agent_set_dc (LcFlowAgent *agent, LcDcId dc);
   void lc_flow_agent_set_looks_bad (LcFlowAgent *agent, bool looks_bad);
   void lc_flow_agent_leave (LcFlowAgent *agent);
   void lc_flow_agent_hand_over (LcFlowAgent *agent);
--- a/src/core/flow/lc-flow-balancer.c
+++ b/src/core/flow/lc-flow-balancer.c
@@ -100,11 +100,12 @@
   return list.n > 0;
 }
 
-bool
-lc_envelope_fill (LcEnvelope *e, const LcCandidateSets *sets, uint64_t key_hash)
+static bool
+lc_envelope__fill (LcEnvelope *e, const LcCandidateSets *sets, uint64_t key_hash, bool is_newest)
 {
-  bool is_filled = sets->n_sets == 1 ? lc_envelope__fill_settled (e, sets, key_hash)
-                                     : lc_envelope__fill_unsettled (e, sets, key_hash);
+  bool is_filled = sets->n_sets == 1 || (is_newest && sets->n_sets > 0)
+                       ? lc_envelope__fill_settled (e, sets, key_hash)
+                       : lc_envelope__fill_unsettled (e, sets, key_hash);
 
   if (!is_filled)
     return false;
@@ -116,6 +117,18 @@
   return true;
 }
 
+bool
+lc_envelope_fill (LcEnvelope *e, const LcCandidateSets *sets, uint64_t key_hash)
+{
+  return lc_envelope__fill (e, sets, key_hash, false);
+}
+
+void
+lc_flow_balancer_set_returning (LcFlowBalancer *b, bool is_returning)
+{
+  b->is_returning = is_returning;
+}
+
 void
 lc_flow_balancer_set_cut_off (LcFlowBalancer *b, bool is_cut_off)
 {
@@ -139,6 +152,43 @@
   e->target_instance = e->candidates[0].instance;
 }
 
+/* Nobody takes new flows, but endpoints that leave still have theirs: one of them, by hash, looks
+ * for the owner. */
+static bool
+lc_flow_balancer__any_endpoint (const LcFlowBalancer *b,
+                                LcServiceId service_id,
+                                uint64_t key_hash,
+                                LcEnvelope *e)
+{
+  const LcService *s = lc_view_service (b->view, service_id);
+  const LcEndpoint *any;
+
+  if (s == NULL || s->n_endpoints == 0)
+    return false;
+  any = &s->endpoints[key_hash % s->n_endpoints];
+  e->candidates[0] = (LcCandidate){ any->id, any->ipv4, any->instance, any->flow_port };
+  e->n = 1;
+  e->mode = LC_MODE_WALK;
+  e->service_id = service_id;
+  e->set_rank = UINT64_MAX;
+  e->target_id = any->id;
+  e->target_instance = any->instance;
+  return true;
+}
+
+static bool
+lc_flow_balancer__list (const LcFlowBalancer *b,
+                        const LcCandidateSets *sets,
+                        uint64_t key_hash,
+                        LcEnvelope *e)
+{
+  bool is_newest = b->is_returning && sets->n_sets > 0 && sets->sets[0].n > 0;
+
+  if (lc_envelope__fill (e, sets, key_hash, is_newest))
+    return true;
+  return b->is_returning && lc_flow_balancer__any_endpoint (b, sets->service_id, key_hash, e);
+}
+
 int
 lc_flow_balancer_steer (LcFlowBalancer *b, const LcPacket *packet, LcEnvelope *e, LcCandidate *to)
 {
@@ -153,9 +203,11 @@
   e->revision = b->view->revision;
   e->stray_id = 0;
   e->stray_instance = 0;
-  if (!lc_envelope_fill (e, sets, lc_flow_key_hash (key)))
+  e->hop = 0;
+  e->assigner = 0;
+  if (!lc_flow_balancer__list (b, sets, lc_flow_key_hash (key), e))
     return -LC_DROP_NO_ENDPOINT;
-  if (b->is_cut_off)
+  if (b->is_cut_off && !b->is_returning)
     lc_flow_balancer__detour (b, sets, e);
   *to = e->candidates[0];
   return 0;
--- a/src/core/flow/lc-flow-balancer.h
+++ b/src/core/flow/lc-flow-balancer.h
@@ -46,11 +46,15 @@
     LcFlowBalancerEntry *entries; /* owned; direct-mapped by address */
     LcDcId dc;
     bool is_cut_off;
+    bool is_returning; /* backend servers return what they do not hold: lc-flow-return.h */
     uint32_t turn;
   } LcFlowBalancer;
 
   void lc_flow_balancer_init (LcFlowBalancer *balancer, LcDcId dc);
   void lc_flow_balancer_finish (LcFlowBalancer *balancer);
+  /* Backend servers return what they do not hold: lists then name the newest homes alone, since
+   * agents find the owner without a settled list. */
+  void lc_flow_balancer_set_returning (LcFlowBalancer *balancer, bool is_returning);
   /* Forgets what was compiled from the view before. */
   void lc_flow_balancer_set_view (LcFlowBalancer *balancer, const LcView *view);
   /* The same for one service that changed. */
--- a/src/core/flow/lc-flow-key.h
+++ b/src/core/flow/lc-flow-key.h
@@ -48,6 +48,14 @@
     uint16_t header_len;    /* of the IPv4 header */
     uint16_t payload_start; /* of the UDP payload or TCP segment data */
     uint16_t total_len;     /* IPv4 total length; bytes after it are ignored */
+
+    /* Formats in which backend servers return what is not theirs (lc-packet-format.h): */
+    bool is_accept;    /* of a backend server: it takes the flow, if the caller goes on with it */
+    bool is_reset;     /* the sender has ended the flow */
+    bool is_returned;  /* a caller's packet, handed back by a backend server without the flow */
+    uint32_t n_copies; /* first packets: how many copies the caller has sent before */
+    uint32_t acknowledged; /* other packets: the sender's newest acknowledgement */
+    uint32_t mark;         /* ours: given to a backend server, handed back with what it returns */
   } LcPacket;
 
   int lc_packet_parse (LcPacket *packet, const uint8_t *bytes, size_t len);
--- a/src/core/flow/lc-flow-message.h
+++ b/src/core/flow/lc-flow-message.h
@@ -32,6 +32,7 @@
     LC_FLOW_HAND_OVER = 4,    /* a leaving owner to the adopter, or an adopter to the returned */
     LC_FLOW_HAND_OVER_ACK = 5,
     LC_FLOW_CONTEST = 6, /* home to the owner that it knows: another claims these */
+    LC_FLOW_DENIED = 7, /* to an agent that searches: the backend server here does not hold these */
   } LcFlowMessageKind;
 
   typedef struct
--- a/src/core/flow/lc-flow-pointers.c
+++ b/src/core/flow/lc-flow-pointers.c
@@ -11,8 +11,8 @@
 
 /* === private: batches ======================================================================= */
 
-static LcFlowEntry *
-lc_flow_pointers__entry (LcFlowAgent *a, LcFlowMessageKind kind, const LcCandidate *to)
+LcFlowEntry *
+lc_flow_pointers_entry (LcFlowAgent *a, LcFlowMessageKind kind, const LcCandidate *to)
 {
   uint32_t looked = 0;
   LcFlowMessage *m;
@@ -120,7 +120,7 @@
 
       if ((f->acked & (1U << i)) != 0)
         continue;
-      entry = lc_flow_pointers__entry (a, LC_FLOW_POINTERS, &list.items[i]);
+      entry = lc_flow_pointers_entry (a, LC_FLOW_POINTERS, &list.items[i]);
       entry->key = f->key;
       entry->epoch = f->epoch;
     }
@@ -172,7 +172,7 @@
   for (uint8_t i = 0; i < list.n; i++)
     if (!lc_candidate_equal (&list.items[i], &a->desc.self))
       {
-        LcFlowEntry *entry = lc_flow_pointers__entry (a, LC_FLOW_POINTERS, &list.items[i]);
+        LcFlowEntry *entry = lc_flow_pointers_entry (a, LC_FLOW_POINTERS, &list.items[i]);
 
         entry->key = f->key;
         entry->is_end = true;
@@ -268,7 +268,7 @@
 lc_flow_pointers__contest (LcFlowAgent *a, const LcFlow *f, const LcCandidate *claimant)
 {
   LcCandidate owner = { f->endpoint_id, f->ipv4, f->instance, f->port };
-  LcFlowEntry *entry = lc_flow_pointers__entry (a, LC_FLOW_CONTEST, &owner);
+  LcFlowEntry *entry = lc_flow_pointers_entry (a, LC_FLOW_CONTEST, &owner);
 
   entry->key = f->key;
   entry->backend_id = claimant->id;
@@ -325,7 +325,7 @@
     return;
   if (!stands)
     lc_flow_pointers__put (a, f, m, entry, now_us);
-  ack = lc_flow_pointers__entry (a, LC_FLOW_POINTERS_ACK, claimant);
+  ack = lc_flow_pointers_entry (a, LC_FLOW_POINTERS_ACK, claimant);
   ack->key = entry->key;
   ack->is_refused = stands;
 }
@@ -356,9 +356,8 @@
                                e->backend_port };
       const LcFlow *f = lc_flow_table_find (&a->table, &e->key, lc_flow_key_hash (&e->key));
       bool is_owned = f != NULL && f->kind == LC_FLOW_OWNED;
-      LcFlowEntry *answer = is_owned
-                                ? lc_flow_pointers__entry (a, LC_FLOW_POINTERS_ACK, &claimant)
-                                : lc_flow_pointers__entry (a, LC_FLOW_POINTERS, &m->load.agent);
+      LcFlowEntry *answer = is_owned ? lc_flow_pointers_entry (a, LC_FLOW_POINTERS_ACK, &claimant)
+                                     : lc_flow_pointers_entry (a, LC_FLOW_POINTERS, &m->load.agent);
 
       answer->key = e->key;
       answer->is_refused = is_owned;
@@ -427,7 +426,7 @@
 lc_flow_pointers__offer (LcFlowAgent *a, LcFlow *f, const LcCandidate *to, int64_t now_us)
 {
   bool is_adopted = (f->flags & LC_FLOW_ADOPTED) != 0;
-  LcFlowEntry *entry = lc_flow_pointers__entry (a, LC_FLOW_HAND_OVER, to);
+  LcFlowEntry *entry = lc_flow_pointers_entry (a, LC_FLOW_HAND_OVER, to);
   int64_t left_ms = ((int64_t)f->expiry_tick - lc_flow_tick (now_us)) * LC_FLOW_TICK_US / 1000;
 
   entry->key = f->key;
@@ -506,7 +505,7 @@
       LcFlowEntry *ack;
 
       lc_flow_pointers__adopt_one (a, m, &m->entries[i], now_us);
-      ack = lc_flow_pointers__entry (a, LC_FLOW_HAND_OVER_ACK, &m->load.agent);
+      ack = lc_flow_pointers_entry (a, LC_FLOW_HAND_OVER_ACK, &m->load.agent);
       ack->key = m->entries[i].key;
       ack->epoch = m->entries[i].epoch;
     }
--- a/src/core/flow/lc-flow-pointers.h
+++ b/src/core/flow/lc-flow-pointers.h
@@ -48,6 +48,9 @@
   /* Ends ownership without a word to the homes. */
   void lc_flow_pointers_disown (LcFlowAgent *agent, LcFlow *flow);
 
+  /* Room in a batch of messages of this kind to this agent. */
+  LcFlowEntry *
+  lc_flow_pointers_entry (LcFlowAgent *agent, LcFlowMessageKind kind, const LcCandidate *to);
   LcFlowMessage *
   lc_flow_pointers_message (LcFlowAgent *agent, LcFlowMessageKind kind, const LcCandidate *to);
 
--- /dev/null
+++ b/src/core/flow/lc-flow-return.c
@@ -0,0 +1,298 @@
+#include "lc-flow-return.h"
+
+#include "lc-flow-agent-private.h"
+#include "lc-flow-pointers.h"
+
+#include <string.h>
+
+enum
+{
+  LC_FLOW_RETURN_HOPS = 8, /* hops that a returned first packet costs: four endpoints see it */
+};
+
+/* A lost endpoint's flows count as gone after this time: it is longer than the lease, and than the
+ * time after which a platform counts a cut-off VM as out of touch (4 to 5 s). */
+#define LC_FLOW_LOST_US (5 * LC_US_PER_S)
+
+/* === private: answers ======================================================================= */
+
+static LcFlowAction
+lc_flow_return__try (uint32_t mark)
+{
+  return (LcFlowAction){ .kind = LC_FLOW_ACTION_TRY, .try_mark = mark };
+}
+
+/* Endpoints whose word is waited for.  One that the view has lost may live and be cut off; after
+ * LC_FLOW_LOST_US its callers are better served by a new flow. */
+static uint32_t
+lc_flow_return__awaited (const LcFlowAgent *a, int64_t now_us, LcEndpointId out[LC_FLOW_SEARCH_MAX])
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < a->assign.n_peers && n < LC_FLOW_SEARCH_MAX; i++)
+    {
+      const LcAssignPeer *p = &a->assign.peers[i];
+
+      if (p->lost_us == 0 || now_us - p->lost_us < LC_FLOW_LOST_US)
+        out[n++] = p->agent.id;
+    }
+  return n;
+}
+
+static void
+lc_flow_return__deny (
+    LcFlowAgent *a, const LcFlowKey *key, LcEndpointId by, LcRevision revision, int64_t now_us)
+{
+  LcPacket packet;
+
+  if (!lc_flow_search_deny (a->searches, key, by, revision, now_us, &packet))
+    return;
+  a->counts.denied_total++;
+  g_array_append_val (a->resets, packet);
+}
+
+static LcFlowAction
+lc_flow_return__search (LcFlowAgent *a, const LcPacket *packet, bool is_here, int64_t now_us)
+{
+  LcFlowAction action = { .kind = LC_FLOW_ACTION_SEARCH };
+  LcEndpointId awaited[LC_FLOW_SEARCH_MAX];
+  uint32_t n = lc_flow_return__awaited (a, now_us, awaited);
+
+  a->counts.searched_total++;
+  /* In a service with more endpoints than are asked, nobody can say that none holds the flow. */
+  if (n < LC_FLOW_SEARCH_MAX)
+    lc_flow_search_begin (a->searches, packet, awaited, n, a->view->revision, now_us);
+  if (!is_here)
+    lc_flow_return__deny (a, &packet->key, a->desc.self.id, a->view->revision, now_us);
+  action.is_here = is_here;
+  return action;
+}
+
+/* The backend server here does not hold a flow that another agent, or this one, searches for. */
+static LcFlowAction
+lc_flow_return__answer_search (LcFlowAgent *a, const LcPacket *packet, int64_t now_us)
+{
+  const LcAssignPeer *peer = lc_assign_peer (&a->assign, packet->mark);
+
+  if (packet->mark == a->desc.self.id)
+    lc_flow_return__deny (a, &packet->key, a->desc.self.id, a->view->revision, now_us);
+  else if (peer != NULL)
+    lc_flow_pointers_entry (a, LC_FLOW_DENIED, &peer->agent)->key = packet->key;
+  return lc_flow_agent__drop (a, LC_DROP_NO_OWNER);
+}
+
+/* Nobody can take the flow.  Only a first packet that was not sent before may be answered with a
+ * reset: an earlier copy may have opened the flow meanwhile. */
+static LcFlowAction
+lc_flow_return__fail (LcFlowAgent *a, const LcPacket *packet, LcDropReason reason)
+{
+  if (!packet->may_open || packet->n_copies > 0)
+    return lc_flow_agent__drop (a, reason);
+  a->counts.dropped_total[reason]++;
+  return (LcFlowAction){ .kind = LC_FLOW_ACTION_RESET, .reason = reason };
+}
+
+/* A first packet remembers the hops that it has left while the backend server looks at it. */
+static LcFlowAction
+lc_flow_return__marked (LcFlowAction action, const LcEnvelope *e, const LcPacket *packet)
+{
+  if (action.kind == LC_FLOW_ACTION_DELIVER)
+    action.deliver.mark = packet->may_open ? e->hops_left : LC_FLOW_MARK_NONE;
+  return action;
+}
+
+static LcFlowAction
+lc_flow_return__assign (
+    LcFlowAgent *a, LcEnvelope *e, LcFlow *f, const LcPacket *packet, int64_t now_us)
+{
+  LcFlowAction action = lc_flow_agent__assign (a, e, f, packet, now_us);
+
+  if (action.kind == LC_FLOW_ACTION_DROP)
+    {
+      a->counts.dropped_total[action.reason]--; /* counted again with the answer */
+      return lc_flow_return__fail (a, packet, action.reason);
+    }
+  return lc_flow_return__marked (action, e, packet);
+}
+
+/* Takes the flow if it may, else sends the packet back to the assigner. */
+static LcFlowAction
+lc_flow_return__open (
+    LcFlowAgent *a, LcEnvelope *e, LcFlow *f, const LcPacket *packet, int64_t now_us)
+{
+  if (!lc_flow_agent__is_accepting (a))
+    return lc_flow_agent__refuse (a, e, LC_DROP_LEAVING);
+  return lc_flow_return__marked (lc_flow_agent__take (a, f, packet, now_us), e, packet);
+}
+
+/* === private: owned flows =================================================================== */
+
+/* A packet that did not come by the first home: that home has forgotten the owner. */
+static void
+lc_flow_return__remind_homes (LcFlowAgent *a, LcFlow *f, const LcEnvelope *e)
+{
+  bool is_detour = e->mode == LC_MODE_SEARCH || (e->mode == LC_MODE_WALK && e->hop > 0);
+
+  if (is_detour && (f->flags & LC_FLOW_QUEUED) == 0)
+    lc_flow_pointers_start (a, f);
+}
+
+/* A first packet on a flow that has ended here opens a new one, which a leaving agent refuses. */
+static bool
+lc_flow_return__is_owned (const LcFlowAgent *a, const LcFlow *f, const LcPacket *packet)
+{
+  if (f == NULL || f->kind != LC_FLOW_OWNED)
+    return false;
+  return !packet->may_open || (f->flags & LC_FLOW_ENDED) == 0 || lc_flow_agent__is_accepting (a);
+}
+
+static void
+lc_flow_return__disown (LcFlowAgent *a, LcFlow *f)
+{
+  if (f == NULL || f->kind != LC_FLOW_OWNED)
+    return;
+  lc_flow_pointers_end (a, f);
+  lc_flow_table_remove (&a->table, f);
+}
+
+/* === private: a packet on its way through the homes ========================================= */
+
+static LcFlowAction
+lc_flow_return__walk (
+    LcFlowAgent *a, LcEnvelope *e, LcFlow *f, const LcPacket *packet, int64_t now_us)
+{
+  LcSteerKnown known = lc_flow_agent__known (a, f);
+
+  if (known.kind == LC_FLOW_POINTER && known.is_live &&
+      !lc_candidate_equal (&known.other, &a->desc.self))
+    return lc_flow_agent__send (
+        a, e, packet->may_open && !known.is_confirmed ? LC_MODE_OPEN : LC_MODE_OWNER, &known.other);
+  if (packet->may_open)
+    return lc_flow_return__assign (a, e, f, packet, now_us);
+  if (e->hop + 1 >= e->n)
+    return lc_flow_return__search (a, packet, true, now_us);
+  e->hop++;
+  return lc_flow_agent__send (a, e, LC_MODE_WALK, &e->candidates[e->hop]);
+}
+
+/* === public ================================================================================= */
+
+LcFlowAction
+lc_flow_return_packet (LcFlowAgent *a, LcEnvelope *e, const LcPacket *packet, int64_t now_us)
+{
+  LcFlow *f = lc_flow_table_find (&a->table, &packet->key, lc_flow_key_hash (&packet->key));
+
+  if (e->service_id != a->desc.service_id)
+    return lc_flow_agent__drop (a, LC_DROP_WRONG_INSTANCE);
+  if (lc_flow_return__is_owned (a, f, packet))
+    {
+      lc_flow_return__remind_homes (a, f, e);
+      return lc_flow_return__marked (lc_flow_agent__deliver (a, f, packet, false, now_us), e,
+                                     packet);
+    }
+  switch ((LcEnvelopeMode)e->mode)
+    {
+    case LC_MODE_WALK:
+      return lc_flow_return__walk (a, e, f, packet, now_us);
+    case LC_MODE_OPEN:
+    case LC_MODE_OWNER:
+      if (packet->may_open)
+        return lc_flow_return__open (a, e, f, packet, now_us);
+      return lc_flow_return__try (LC_FLOW_MARK_NONE);
+    case LC_MODE_ASSIGN:
+    case LC_MODE_REFUSED:
+      if (packet->may_open)
+        return lc_flow_return__assign (a, e, f, packet, now_us);
+      return lc_flow_agent__drop (a, LC_DROP_NO_OWNER);
+    case LC_MODE_SEARCH:
+      if (packet->may_open)
+        return lc_flow_agent__drop (a, LC_DROP_NO_OWNER);
+      return lc_flow_return__try (e->candidates[0].id);
+    }
+  return lc_flow_agent__drop (a, LC_DROP_MALFORMED);
+}
+
+void
+lc_flow_return_search (const LcFlowAgent *a, const LcCandidate *to, LcEnvelope *e)
+{
+  memset (e, 0, sizeof *e);
+  e->mode = LC_MODE_SEARCH;
+  e->n = 1;
+  e->candidates[0] = a->desc.self;
+  e->service_id = a->desc.service_id;
+  e->revision = a->view != NULL ? a->view->revision : 0;
+  e->set_rank = UINT64_MAX;
+  e->target_id = to->id;
+  e->target_instance = to->instance;
+}
+
+LcFlowAction
+lc_flow_return_returned (LcFlowAgent *a, LcEnvelope *e, const LcPacket *packet, int64_t now_us)
+{
+  a->counts.returned_total++;
+  lc_flow_return__disown (
+      a, lc_flow_table_find (&a->table, &packet->key, lc_flow_key_hash (&packet->key)));
+  if (!packet->may_open)
+    return packet->mark != LC_FLOW_MARK_NONE ? lc_flow_return__answer_search (a, packet, now_us)
+                                             : lc_flow_return__search (a, packet, false, now_us);
+  if (packet->mark <= LC_FLOW_RETURN_HOPS || packet->mark > LC_ENVELOPE_HOPS)
+    return lc_flow_return__fail (a, packet, LC_DROP_LIMIT);
+  lc_flow_return_search (a, &a->desc.self, e);
+  e->mode = LC_MODE_REFUSED;
+  e->hops_left = (uint8_t)(packet->mark - LC_FLOW_RETURN_HOPS);
+  e->dc = a->dc;
+  e->stray_id = a->desc.self.id;
+  e->stray_instance = a->desc.self.instance;
+  return lc_flow_return__assign (a, e, NULL, packet, now_us);
+}
+
+void
+lc_flow_return_answered (LcFlowAgent *a, const LcPacket *packet, int64_t now_us)
+{
+  LcPacket of_caller = *packet;
+  LcFlow *f;
+
+  of_caller.key.source_ipv4 = packet->key.target_ipv4;
+  of_caller.key.source_port = packet->key.target_port;
+  of_caller.key.target_ipv4 = packet->key.source_ipv4;
+  of_caller.key.target_port = packet->key.source_port;
+  of_caller.may_open = false;
+  f = lc_flow_table_find (&a->table, &of_caller.key, lc_flow_key_hash (&of_caller.key));
+  if (f != NULL && f->kind == LC_FLOW_OWNED)
+    (void)lc_flow_agent__deliver (a, f, &of_caller, false, now_us);
+  else if (!packet->is_reset) /* a reset answers what the backend server does not hold any more */
+    (void)lc_flow_agent__take (a, f, &of_caller, now_us);
+}
+
+void
+lc_flow_return_denied (LcFlowAgent *a, const LcFlowMessage *m, int64_t now_us)
+{
+  for (uint32_t i = 0; a->searches != NULL && i < m->n; i++)
+    lc_flow_return__deny (a, &m->entries[i].key, m->load.agent.id, m->load.revision, now_us);
+}
+
+bool
+lc_flow_return_next_reset (LcFlowAgent *a, LcPacket *packet)
+{
+  if (a->resets->len == 0)
+    return false;
+  *packet = g_array_index (a->resets, LcPacket, a->resets->len - 1);
+  g_array_set_size (a->resets, a->resets->len - 1);
+  return true;
+}
+
+uint32_t
+lc_flow_return_others (const LcFlowAgent *a, uint64_t key_hash, LcCandidate out[LC_FLOW_SEARCH_MAX])
+{
+  uint32_t n_peers = a->assign.n_peers;
+  uint32_t n = 0;
+
+  for (uint32_t k = 0; k < n_peers && n < LC_FLOW_SEARCH_MAX; k++)
+    {
+      const LcAssignPeer *p = &a->assign.peers[(key_hash + k) % n_peers];
+
+      if (p->agent.id != a->desc.self.id)
+        out[n++] = p->agent;
+    }
+  return n;
+}
--- /dev/null
+++ b/src/core/flow/lc-flow-return.h
@@ -0,0 +1,77 @@
+/* lc-flow-return: steering for services whose backend servers return what they do not hold.
+ *
+ * WHAT IT IS
+ *   Where a backend server hands back each packet of a flow that it does not hold, it is the truth
+ *   about its flows, and the tables of agents are only a fast way to it.  So nothing has to be
+ *   settled before a flow may be assigned, and an agent that knows nothing, for example after a
+ *   restart, can ask:
+ *     - a first packet is assigned by the first home that it reaches;
+ *     - another packet goes to the owner that a home knows; if no home knows one, it is tried here
+ *       and sent to every other agent of the service (a search), each of which tries it once;
+ *     - what is returned loses its entry here and is searched for, or assigned to another endpoint;
+ *     - when every backend server has denied a flow in a search, its caller is told by a reset: it
+ *       need not wait for what will never come (lc-flow-search.h);
+ *     - an answer of the backend server proves that it holds the flow: the agent then owns it and
+ *       registers it with the homes.
+ *   Two endpoints that both accept copies of a first packet do no harm: the caller goes on with
+ * one, and the other returns what the first one's caller sends.
+ *
+ * HOW TO USE IT
+ *   Through lc_flow_agent_packet when desc.is_returning is set, and
+ *     action = lc_flow_return_returned (&agent, &envelope, &packet, now_us);
+ *     lc_flow_return_answered (&agent, &packet, now_us);
+ *     n = lc_flow_return_others (&agent, others, LC_FLOW_SEARCH_MAX);    of LC_FLOW_ACTION_SEARCH
+ *     while (lc_flow_return_next_reset (&agent, &packet))
+ *       answer the packet with a reset
+ *
+ * LIMITS
+ *   A search goes to LC_FLOW_SEARCH_MAX endpoints at most.  Larger services rely on the pointers at
+ *   the homes, which a search only stands in for; their searches begin at a place that the flow's
+ *   hash gives, so that copies of a packet ask the same ones.
+ */
+#ifndef LC_FLOW_RETURN_H
+#define LC_FLOW_RETURN_H
+
+#include "lc-flow-agent.h"
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  /* Marks of packets that are not first ones (LcPacket.mark): 0, or the endpoint whose agent
+   * searches for the flow's owner.  When such a packet is returned, that agent is told. */
+  enum
+  {
+    LC_FLOW_MARK_NONE = 0,
+  };
+
+  /* As lc_flow_agent_packet. */
+  LcFlowAction lc_flow_return_packet (LcFlowAgent *agent,
+                                      LcEnvelope *envelope,
+                                      const LcPacket *packet,
+                                      int64_t now_us);
+  /* The backend server returned a packet; `envelope` is filled when the action sends it on. */
+  LcFlowAction lc_flow_return_returned (LcFlowAgent *agent,
+                                        LcEnvelope *envelope,
+                                        const LcPacket *packet,
+                                        int64_t now_us);
+  /* The backend server sent this packet to a caller. */
+  void lc_flow_return_answered (LcFlowAgent *agent, const LcPacket *packet, int64_t now_us);
+  /* Whom a search asks: every other endpoint of the service, in whatever state. */
+  uint32_t lc_flow_return_others (const LcFlowAgent *agent,
+                                  uint64_t key_hash,
+                                  LcCandidate out[LC_FLOW_SEARCH_MAX]);
+  /* An agent that was asked says that its backend server does not hold these flows. */
+  void lc_flow_return_denied (LcFlowAgent *agent, const LcFlowMessage *message, int64_t now_us);
+  /* Packets of flows that nobody holds; false: none is left. */
+  bool lc_flow_return_next_reset (LcFlowAgent *agent, LcPacket *packet);
+  /* The envelope of a search that this agent begins. */
+  void
+  lc_flow_return_search (const LcFlowAgent *agent, const LcCandidate *to, LcEnvelope *envelope);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif /* LC_FLOW_RETURN_H */
--- /dev/null
+++ b/src/core/member/lc-backend-status.h
@@ -0,0 +1,90 @@
+/* lc-backend-status: what a backend server has said of itself, and whether it may be given work.
+ *
+ * WHAT IT IS
+ *   A backend server may report itself to the agent beside it: who it is, whether it takes new
+ * work, how long it stays slow after its start.  Reports may come late, doubled or out of order,
+ * and a backend server that starts again is another one under the same address.  This module keeps
+ * the newest word and says what a report changed.
+ *
+ * HOW TO USE IT
+ *     lc_backend_status_init (&status, &desc);
+ *     switch (lc_backend_status_take (&status, &report, now_us)) ...
+ *     if (lc_backend_status_is_open (&status, now_us))
+ *       it may be given a new flow
+ *
+ * LIFETIME
+ *   Plain values; nothing to free.
+ *
+ * LIMITS
+ *   The LC_BACKEND_EARLIER_MAX identities before the present one are remembered: a report that
+ * comes later than that many restarts would count as a new backend server.
+ */
+#ifndef LC_BACKEND_STATUS_H
+#define LC_BACKEND_STATUS_H
+
+#include "core/lc-types.h"
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  enum
+  {
+    LC_BACKEND_EARLIER_MAX = 4,
+  };
+
+  typedef enum
+  {
+    LC_BACKEND_UNKNOWN = 0,  /* nothing was reported yet */
+    LC_BACKEND_READY = 1,    /* takes new work */
+    LC_BACKEND_DRAINING = 2, /* keeps what it has, takes nothing new */
+    LC_BACKEND_ENDED = 3,    /* said that it ends */
+  } LcBackendState;
+
+  typedef struct
+  {
+    char id[LC_NAME_MAX]; /* of this start of the backend server */
+    LcBackendState state;
+    uint64_t sequence; /* grows with each report of one id */
+    uint32_t slots;    /* requests that it runs at once; 0: not said */
+    uint32_t cold_ms;  /* still slow for so long */
+    char service[LC_NAME_MAX];
+  } LcBackendReport;
+
+  typedef enum
+  {
+    LC_BACKEND_SAME = 0,    /* nothing new but the sign of life */
+    LC_BACKEND_LATE = 1,    /* older than what is known: ignored */
+    LC_BACKEND_STARTED = 2, /* another backend server than before: all its flows are new */
+    LC_BACKEND_CHANGED = 3, /* the state went on */
+  } LcBackendNews;
+
+  typedef struct
+  {
+    uint32_t interval_ms; /* usual time between reports; 0: 1200 */
+  } LcBackendStatusDesc;
+
+  typedef struct
+  {
+    LcBackendStatusDesc desc;
+    LcBackendReport newest;
+    char earlier[LC_BACKEND_EARLIER_MAX][LC_NAME_MAX]; /* newest first */
+    int64_t heard_us;
+    int64_t warm_at_us; /* no longer slow from then on */
+  } LcBackendStatus;
+
+  void lc_backend_status_init (LcBackendStatus *status, const LcBackendStatusDesc *desc);
+  LcBackendNews
+  lc_backend_status_take (LcBackendStatus *status, const LcBackendReport *report, int64_t now_us);
+  /* Whether it may be given new flows: it is ready, and was heard within two and a half intervals.
+   */
+  bool lc_backend_status_is_open (const LcBackendStatus *status, int64_t now_us);
+  /* Names this start of the backend server; 0: none was reported. */
+  LcInstance lc_backend_status_instance (const LcBackendStatus *status);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif /* LC_BACKEND_STATUS_H */
--- a/src/io/lc-app.c
+++ b/src/io/lc-app.c
@@ -6,21 +6,27 @@
 #include <signal.h>
 #include <string.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 enum
 {
   LC_APP_LOOP_WAIT_MS = 50, /* how late a signal or an idle state may be noticed */
   LC_APP_MAX_ERRORS = 20,
+  LC_APP_LOOK_MS = 2000, /* between looks at the settings file: a change counts within seconds */
 };
 
 /* Signals can only reach a global; it counts them. */
 static volatile sig_atomic_t lc_app__signals;
 
+static volatile sig_atomic_t lc_app__hang_ups;
+
 static void
 lc_app__on_signal (int number)
 {
-  (void)number;
-  lc_app__signals++;
+  if (number == SIGHUP)
+    lc_app__hang_ups++;
+  else
+    lc_app__signals++;
 }
 
 static void
@@ -30,6 +36,7 @@
 
   (void)sigaction (SIGTERM, &action, NULL);
   (void)sigaction (SIGINT, &action, NULL);
+  (void)sigaction (SIGHUP, &action, NULL);
   (void)signal (SIGPIPE, SIG_IGN);
 }
 
@@ -55,18 +62,41 @@
 }
 
 static int
-lc_app__load (LcApp *app)
+lc_app__read (const LcApp *app, void *settings, LcError *error)
 {
-  LcError error = { 0 };
   const char *wrong = NULL;
-  int r = lc_settings_load (app->desc.schema, app->desc.settings, app->settings_path, &error);
+  int r = lc_settings_load (app->desc.schema, settings, app->settings_path, error);
 
   if (r == 0 && app->desc.check != NULL)
-    wrong = app->desc.check (app->desc.settings);
+    wrong = app->desc.check (settings);
   if (wrong != NULL)
-    r = lc_error_set (&error, LC_ERR_INVALID, "change the named fields so that they agree",
-                      "%s: %s", app->settings_path, wrong);
-  if (r == 0)
+    r = lc_error_set (error, LC_ERR_INVALID, "change the named fields so that they agree", "%s: %s",
+                      app->settings_path, wrong);
+  return r;
+}
+
+/* 0 when the file can't be read. */
+static uint64_t
+lc_app__hash_file (const LcApp *app)
+{
+  gchar *text = NULL;
+  gsize len = 0;
+  uint64_t hash;
+
+  if (!g_file_get_contents (app->settings_path, &text, &len, NULL))
+    return 0;
+  hash = XXH3_64bits (text, len) | 1;
+  g_free (text);
+  return hash;
+}
+
+static int
+lc_app__load (LcApp *app)
+{
+  LcError error = { 0 };
+
+  app->settings_hash = lc_app__hash_file (app);
+  if (lc_app__read (app, app->desc.settings, &error) == 0)
     return LC_APP_RUN;
   lc_error_print (stderr, &error);
   return LC_ERR_INVALID;
@@ -172,6 +202,45 @@
   on_drain (user);
 }
 
+/* === private: reload ======================================================================== */
+
+static void
+lc_app__reload (LcApp *app, void *user)
+{
+  void *fresh = g_malloc0 (app->desc.schema->size);
+  LcError error = { 0 };
+
+  if (lc_app__read (app, fresh, &error) < 0)
+    LC_WARN ("app.reload-refused", "message", LC_STR (error.message), "remedy",
+             LC_STR (error.remedy), "meaning", LC_STR ("the settings read before stay in force"));
+  else
+    {
+      LC_INFO ("app.reloaded", "is_used", LC_U64 (app->desc.reload != NULL));
+      if (app->desc.reload != NULL)
+        app->desc.reload (user, fresh);
+    }
+  g_free (fresh);
+}
+
+/* A hang-up reads the file again; without one it is looked at now and then. */
+static void
+lc_app__reload_due (LcApp *app, void *user)
+{
+  int64_t now_us = lc_clock_now_us ();
+  bool is_asked = lc_app__hang_ups > 0;
+  uint64_t hash;
+
+  if (!is_asked && now_us < app->look_us)
+    return;
+  lc_app__hang_ups = 0;
+  app->look_us = now_us + LC_APP_LOOK_MS * LC_US_PER_MS;
+  hash = lc_app__hash_file (app);
+  if (!is_asked && (hash == 0 || hash == app->settings_hash))
+    return;
+  app->settings_hash = hash;
+  lc_app__reload (app, user);
+}
+
 int
 lc_app_run (LcApp *app,
             void *user,
@@ -182,6 +251,7 @@
   for (;;)
     {
       (void)h2o_evloop_run (app->loop, LC_APP_LOOP_WAIT_MS);
+      lc_app__reload_due (app, user);
       if (lc_app__signals == 0)
         continue;
       if (!app->is_draining)
--- a/src/io/lc-app.h
+++ b/src/io/lc-app.h
@@ -16,6 +16,11 @@
  *     ... finish planes ...
  *     lc_app_finish (&app);
  *
+ * RELOAD
+ *   At SIGHUP, and when the file is found changed (looked at every LC_APP_LOOK_MS), the settings
+ * are read and checked whole.  A file that does not pass changes nothing; one that passes is given
+ * to desc.reload, which says by its log lines what it takes over.  Both are one line.
+ *
  * SHUTDOWN
  *   At the first signal `on_drain (user)` is called once; the loop goes on until `is_idle (user)`
  *   or drain_limit_ms has passed (then it logs what was cut).  A second signal ends the wait.
@@ -45,6 +50,8 @@
   const LcSettingsSchema *schema;
   void *settings;                              /* the program's struct, filled from the file */
   const char *(*check) (const void *settings); /* cross-field check: NULL or what is wrong */
+  /* New settings that passed; NULL: what has changed counts from the next start. */
+  void (*reload) (void *user, const void *settings);
 } LcAppDesc;
 
 typedef struct
@@ -55,6 +62,8 @@
   LcBurnRecorder burn; /* see lc_burn_identify */
   char settings_path[256];
   LcLogLevel log_level;
+  uint64_t settings_hash; /* of the file as it was read last */
+  int64_t look_us;        /* when to look at the file again */
   bool is_draining;
   int64_t drain_deadline_us;
 } LcApp;
--- a/src/io/lc-http.c
+++ b/src/io/lc-http.c
@@ -25,6 +25,8 @@
       return "OK";
     case 202:
       return "Accepted";
+    case 307:
+      return "Temporary Redirect";
     case 400:
       return "Bad Request";
     case 404:
--- a/src/io/lc-settings.c
+++ b/src/io/lc-settings.c
@@ -32,6 +32,7 @@
   switch (field->kind)
     {
     case LC_SETTING_U16:
+    case LC_SETTING_PORT:
       return UINT16_MAX;
     case LC_SETTING_U32:
       return UINT32_MAX;
@@ -63,6 +64,7 @@
   switch (field->kind)
     {
     case LC_SETTING_U16:
+    case LC_SETTING_PORT:
       *(uint16_t *)at = (uint16_t)value;
       break;
     case LC_SETTING_U32:
@@ -88,6 +90,19 @@
   return 0;
 }
 
+/* The port of an address: the platform that writes the file may know no other form of it. */
+static int
+lc_settings__put_port (const LcSettingsLoad *load, const LcSettingsField *f, const char *text)
+{
+  LcSocketAddress address;
+
+  if (lc_settings_parse_address (text, &address) < 0)
+    return lc_settings__wrong_type (load, f->path,
+                                    "a port, or an address such as \"127.0.0.1:7000\"");
+  lc_settings__store_number (f, load->out + f->offset, address.port);
+  return 0;
+}
+
 static int
 lc_settings__put_string (const LcSettingsLoad *load, const LcSettingsField *f, const json_t *value)
 {
@@ -170,6 +185,10 @@
         return lc_settings__wrong_type (load, f->path, "true or false");
       *(bool *)at = json_is_true (value);
       return 0;
+    case LC_SETTING_PORT:
+      if (text != NULL)
+        return lc_settings__put_port (load, f, text);
+      return lc_settings__put_number (load, f, value);
     case LC_SETTING_U16:
     case LC_SETTING_U32:
     case LC_SETTING_U64:
@@ -206,6 +225,7 @@
       *(bool *)(load->out + f->offset) = f->default_u64 != 0;
       break;
     case LC_SETTING_U16:
+    case LC_SETTING_PORT:
     case LC_SETTING_U32:
     case LC_SETTING_U64:
     case LC_SETTING_CHOICE:
@@ -352,6 +372,13 @@
   return r;
 }
 
+void
+lc_settings_set_ports (LcSocketAddress *list, uint32_t n, uint16_t port)
+{
+  for (uint32_t i = 0; port != 0 && i < n; i++)
+    list[i].port = port;
+}
+
 static const char *
 lc_settings__kind_name (LcSettingKind kind)
 {
@@ -365,6 +392,8 @@
     case LC_SETTING_U32:
     case LC_SETTING_U64:
       return "whole number";
+    case LC_SETTING_PORT:
+      return "port, or address:port";
     case LC_SETTING_IPV4:
       return "IPv4 address";
     case LC_SETTING_ADDRESS:
@@ -383,6 +412,7 @@
   switch (f->kind)
     {
     case LC_SETTING_U16:
+    case LC_SETTING_PORT:
     case LC_SETTING_U32:
     case LC_SETTING_U64:
       (void)fprintf (out, "%" PRIu64 " to %" PRIu64, f->min, lc_settings__max (f));
@@ -411,7 +441,8 @@
     (void)fputs (f->default_u64 != 0 ? "true" : "false", out);
   else if (f->kind == LC_SETTING_CHOICE)
     (void)fputs (f->choices[f->default_u64], out);
-  else if (f->kind == LC_SETTING_U16 || f->kind == LC_SETTING_U32 || f->kind == LC_SETTING_U64)
+  else if (f->kind == LC_SETTING_U16 || f->kind == LC_SETTING_PORT || f->kind == LC_SETTING_U32 ||
+           f->kind == LC_SETTING_U64)
     (void)fprintf (out, "%" PRIu64, f->default_u64);
   else
     (void)fputs (f->default_str != NULL ? f->default_str : "empty", out);
--- a/src/io/lc-settings.h
+++ b/src/io/lc-settings.h
@@ -41,6 +41,7 @@
   LC_SETTING_STRING,       /* char[size] */
   LC_SETTING_BOOL,         /* bool */
   LC_SETTING_U16,          /* uint16_t */
+  LC_SETTING_PORT,         /* uint16_t, from a number or from the end of "a.b.c.d:port" */
   LC_SETTING_U32,          /* uint32_t */
   LC_SETTING_U64,          /* uint64_t */
   LC_SETTING_IPV4,         /* uint32_t from "a.b.c.d" */
@@ -83,6 +84,8 @@
                        size_t len,
                        const char *origin,
                        LcError *error);
+/* Gives every address of a list the same port; 0 leaves them as they are. */
+void lc_settings_set_ports (LcSocketAddress *list, uint32_t n, uint16_t port);
 /* Prints the table (path, type, range, unit, default, help), as Markdown. */
 void lc_settings_print (const LcSettingsSchema *schema, FILE *out);
 /* "a.b.c.d" and "a.b.c.d:port"; 0 or LC_ERR_INVALID. */
--- /dev/null
+++ b/tests/adapter/test-declaration.c
@@ -0,0 +1,141 @@
+/* Configurations of the users' platform: what is read and what is refused, as a table. */
+#include "platform/lc-platform-declaration.h"
+
+#include <check.h>
+#include <string.h>
+
+#define SERVICES "\"backends\":[{\"name\":\"a\"},{\"name\":\"b\"}]"
+#define ROUTE(host, prefix, rest) "{\"host\":\"" host "\",\"pathPrefix\":\"" prefix "\"," rest "}"
+#define PLAIN ROUTE ("198.18.0.1", "/8443/", "\"timeoutMs\":1500,\"backend\":\"a\"")
+#define DOCUMENT(version, routes) "{\"version\":" version ",\"routes\":[" routes "]," SERVICES "}"
+
+typedef struct
+{
+  const char *what;
+  const char *body;
+  int expected;
+  uint32_t n_a; /* addresses of service a */
+  uint32_t n_b;
+} Case;
+
+static const Case CASES[] = {
+  { "one route", DOCUMENT ("7", PLAIN), 0, 1, 0 },
+  { "no route", DOCUMENT ("7", ""), 0, 0, 0 },
+  { "two services",
+    DOCUMENT ("7", PLAIN "," ROUTE ("198.18.0.1", "/8080/", "\"timeoutMs\":1,\"backend\":\"b\"")),
+    0, 1, 1 },
+  { "split",
+    DOCUMENT ("7",
+              ROUTE ("198.18.0.1",
+                     "/1/",
+                     "\"timeoutMs\":1,\"trafficSplit\":[{\"backend\":\"a\",\"weight\":10},"
+                     "{\"backend\":\"b\",\"weight\":90}]")),
+    0, 0, 1 },
+  { "unknown field",
+    DOCUMENT ("7", ROUTE ("198.18.0.1", "/1/", "\"timeoutMs\":1,\"backend\":\"a\",\"x\":[]")), 0, 1,
+    0 },
+  { "cut short", "{\"version\":7,\"routes\":[{\"host\":\"198.18", LC_ERR_INVALID, 0, 0 },
+  { "empty", "", LC_ERR_INVALID, 0, 0 },
+  { "no object", "[]", LC_ERR_INVALID, 0, 0 },
+  { "no version", "{\"routes\":[]," SERVICES "}", LC_ERR_INVALID, 0, 0 },
+  { "version 0", DOCUMENT ("0", PLAIN), LC_ERR_INVALID, 0, 0 },
+  { "version as text", DOCUMENT ("\"7\"", PLAIN), LC_ERR_INVALID, 0, 0 },
+  { "version out of range", DOCUMENT ("99999999999999999999", PLAIN), LC_ERR_INVALID, 0, 0 },
+  { "a name twice", "{\"version\":7,\"version\":8,\"routes\":[]," SERVICES "}", LC_ERR_INVALID, 0,
+    0 },
+  { "no services", "{\"version\":7,\"routes\":[]}", LC_ERR_INVALID, 0, 0 },
+  { "unknown service",
+    DOCUMENT ("7", ROUTE ("198.18.0.1", "/1/", "\"timeoutMs\":1,\"backend\":\"c\"")),
+    LC_ERR_INVALID, 0, 0 },
+  { "no service", DOCUMENT ("7", ROUTE ("198.18.0.1", "/1/", "\"timeoutMs\":1")), LC_ERR_INVALID, 0,
+    0 },
+  { "unknown service in a split",
+    DOCUMENT ("7",
+              ROUTE ("198.18.0.1",
+                     "/1/",
+                     "\"timeoutMs\":1,\"trafficSplit\":[{\"backend\":\"a\",\"weight\":10},"
+                     "{\"backend\":\"c\",\"weight\":1}]")),
+    LC_ERR_INVALID, 0, 0 },
+  { "split without weight",
+    DOCUMENT ("7",
+              ROUTE ("198.18.0.1",
+                     "/1/",
+                     "\"timeoutMs\":1,\"trafficSplit\":[{\"backend\":\"a\",\"weight\":0}]")),
+    LC_ERR_INVALID, 0, 0 },
+  { "timeout 0", DOCUMENT ("7", ROUTE ("198.18.0.1", "/1/", "\"timeoutMs\":0,\"backend\":\"a\"")),
+    LC_ERR_INVALID, 0, 0 },
+  { "no timeout", DOCUMENT ("7", ROUTE ("198.18.0.1", "/1/", "\"backend\":\"a\"")), LC_ERR_INVALID,
+    0, 0 },
+  { "one place twice", DOCUMENT ("7", PLAIN "," PLAIN), LC_ERR_INVALID, 0, 0 },
+  { "one place in two services",
+    DOCUMENT ("7", PLAIN "," ROUTE ("198.18.0.1", "/8443/", "\"timeoutMs\":1,\"backend\":\"b\"")),
+    LC_ERR_INVALID, 0, 0 },
+  { "host is a name", DOCUMENT ("7", ROUTE ("desk", "/1/", "\"timeoutMs\":1,\"backend\":\"a\"")),
+    LC_ERR_INVALID, 0, 0 },
+  { "port 0", DOCUMENT ("7", ROUTE ("198.18.0.1", "/0/", "\"timeoutMs\":1,\"backend\":\"a\"")),
+    LC_ERR_INVALID, 0, 0 },
+  { "port out of range",
+    DOCUMENT ("7", ROUTE ("198.18.0.1", "/65536/", "\"timeoutMs\":1,\"backend\":\"a\"")),
+    LC_ERR_INVALID, 0, 0 },
+  { "prefix without port",
+    DOCUMENT ("7", ROUTE ("198.18.0.1", "/", "\"timeoutMs\":1,\"backend\":\"a\"")), LC_ERR_INVALID,
+    0, 0 },
+  { "route is a number", DOCUMENT ("7", "5"), LC_ERR_INVALID, 0, 0 },
+};
+
+START_TEST (test_read)
+{
+  const Case *c = &CASES[_i];
+  LcNumberedDeclaration n;
+  LcError error = { 0 };
+
+  ck_assert_msg (lc_platform_declaration_read (&n, c->body, strlen (c->body), &error) ==
+                     c->expected,
+                 "%s: %s", c->what, error.message);
+  if (c->expected < 0)
+    {
+      ck_assert_msg (error.message[0] != '\0' && error.remedy[0] != '\0', "%s", c->what);
+      ck_assert_msg (n.document == NULL, "%s", c->what);
+      return;
+    }
+  ck_assert_uint_eq (n.number, 7);
+  ck_assert_uint_eq (n.declaration.n_services, 2);
+  ck_assert_uint_eq (n.declaration.services[0].n_addresses, c->n_a);
+  ck_assert_uint_eq (n.declaration.services[1].n_addresses, c->n_b);
+  ck_assert_uint_eq (g_bytes_get_size (n.document), strlen (c->body));
+  lc_numbered_finish (&n);
+}
+END_TEST
+
+START_TEST (test_a_megabyte)
+{
+  GString *body = g_string_new ("{\"version\":7,\"routes\":[");
+  LcNumberedDeclaration n;
+  LcError error = { 0 };
+
+  while (body->len < (1 << 20))
+    g_string_append (body, "{},");
+  g_string_append (body, "{}]," SERVICES "}");
+  ck_assert_int_eq (lc_platform_declaration_read (&n, body->str, body->len, &error),
+                    LC_ERR_INVALID);
+  g_string_free (body, TRUE);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("declaration");
+  TCase *tcase = tcase_create ("declaration");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_loop_test (tcase, test_read, 0, (int)(sizeof CASES / sizeof CASES[0]));
+  tcase_add_test (tcase, test_a_megabyte);
+  suite_add_tcase (suite, tcase);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/adapter/test-report.c
@@ -0,0 +1,184 @@
+/* Reports of backend servers: what is read, what is refused, and what late and doubled ones do. */
+#include "platform/lc-platform-report.h"
+
+#include <check.h>
+#include <string.h>
+
+#define BODY(state, rest)                                                                          \
+  "{\"backend\":\"order\",\"address\":\"10.0.0.9:8080\",\"state\":\"" state "\"" rest "}"
+
+typedef struct
+{
+  const char *what;
+  const char *method;
+  const char *path;
+  const char *body;
+  int expected;
+  LcBackendState state;
+  uint64_t sequence;
+} ReadCase;
+
+static const ReadCase READ[] = {
+  { "ready", "PUT", "/instances/i-1", BODY ("ready", ",\"sequence\":4"), 0, LC_BACKEND_READY, 4 },
+  { "draining", "PUT", "/instances/i-1", BODY ("draining", ",\"sequence\":9"), 0,
+    LC_BACKEND_DRAINING, 9 },
+  { "unknown fields", "PUT", "/instances/i-1", BODY ("ready", ",\"colour\":{}"), 0,
+    LC_BACKEND_READY, 0 },
+  { "ended", "DELETE", "/instances/i-1", "", 0, LC_BACKEND_ENDED, 0 },
+  { "other path", "PUT", "/config", "{}", LC_ERR_NOT_FOUND, 0, 0 },
+  { "no id", "PUT", "/instances/", BODY ("ready", ""), LC_ERR_NOT_FOUND, 0, 0 },
+  { "other method", "POST", "/instances/i-1", BODY ("ready", ""), LC_ERR_NOT_FOUND, 0, 0 },
+  { "id with a slash", "PUT", "/instances/i/1", BODY ("ready", ""), LC_ERR_INVALID, 0, 0 },
+  { "long id", "PUT",
+    "/instances/0123456789012345678901234567890123456789012345678901234567890123456789",
+    BODY ("ready", ""), LC_ERR_INVALID, 0, 0 },
+  { "empty body", "PUT", "/instances/i-1", "", LC_ERR_INVALID, 0, 0 },
+  { "cut short", "PUT", "/instances/i-1", "{\"backend\":\"order\",\"sta", LC_ERR_INVALID, 0, 0 },
+  { "a list", "PUT", "/instances/i-1", "[]", LC_ERR_INVALID, 0, 0 },
+  { "twice the same name", "PUT", "/instances/i-1",
+    BODY ("ready", ",\"sequence\":1,\"sequence\":2"), LC_ERR_INVALID, 0, 0 },
+  { "unknown state", "PUT", "/instances/i-1", BODY ("asleep", ""), LC_ERR_INVALID, 0, 0 },
+  { "no service", "PUT", "/instances/i-1", "{\"state\":\"ready\"}", LC_ERR_INVALID, 0, 0 },
+  { "negative number", "PUT", "/instances/i-1", BODY ("ready", ",\"sequence\":-1"), LC_ERR_INVALID,
+    0, 0 },
+  { "number as text", "PUT", "/instances/i-1", BODY ("ready", ",\"sequence\":\"4\""),
+    LC_ERR_INVALID, 0, 0 },
+  { "too many slots", "PUT", "/instances/i-1", BODY ("ready", ",\"concurrency\":65536"),
+    LC_ERR_INVALID, 0, 0 },
+};
+
+START_TEST (test_read)
+{
+  const ReadCase *c = &READ[_i];
+  LcPlatformCall call = { c->method, strlen (c->method), c->path, strlen (c->path),
+                          c->body,   strlen (c->body) };
+  LcError error = { 0 };
+  LcBackendReport report;
+
+  ck_assert_msg (lc_platform_report_read (&report, &call, &error) == c->expected, "%s: %s", c->what,
+                 error.message);
+  if (c->expected < 0)
+    {
+      ck_assert_msg (error.message[0] != '\0' && error.remedy[0] != '\0', "%s", c->what);
+      return;
+    }
+  ck_assert_msg (report.state == c->state && report.sequence == c->sequence, "%s", c->what);
+  ck_assert_str_eq (report.id, "i-1");
+}
+END_TEST
+
+/* === orders of reports ====================================================================== */
+
+typedef struct
+{
+  const char *id;
+  LcBackendState state;
+  uint64_t sequence;
+  LcBackendNews expected;
+} Step;
+
+typedef struct
+{
+  const char *what;
+  Step steps[6];
+  bool is_open; /* at the end */
+} OrderCase;
+
+static const OrderCase ORDERS[] = {
+  { "usual",
+    { { "a", LC_BACKEND_READY, 1, LC_BACKEND_STARTED },
+      { "a", LC_BACKEND_READY, 2, LC_BACKEND_SAME } },
+    true },
+  { "doubled",
+    { { "a", LC_BACKEND_READY, 1, LC_BACKEND_STARTED },
+      { "a", LC_BACKEND_READY, 1, LC_BACKEND_LATE } },
+    true },
+  { "late",
+    { { "a", LC_BACKEND_READY, 5, LC_BACKEND_STARTED },
+      { "a", LC_BACKEND_READY, 3, LC_BACKEND_LATE } },
+    true },
+  { "late word of readiness after that of leaving",
+    { { "a", LC_BACKEND_READY, 1, LC_BACKEND_STARTED },
+      { "a", LC_BACKEND_DRAINING, 3, LC_BACKEND_CHANGED },
+      { "a", LC_BACKEND_READY, 2, LC_BACKEND_LATE } },
+    false },
+  { "readiness after leaving, whatever its number",
+    { { "a", LC_BACKEND_READY, 1, LC_BACKEND_STARTED },
+      { "a", LC_BACKEND_DRAINING, 2, LC_BACKEND_CHANGED },
+      { "a", LC_BACKEND_READY, 9, LC_BACKEND_LATE } },
+    false },
+  { "first seen while it leaves", { { "a", LC_BACKEND_DRAINING, 7, LC_BACKEND_STARTED } }, false },
+  { "ended",
+    { { "a", LC_BACKEND_READY, 1, LC_BACKEND_STARTED },
+      { "a", LC_BACKEND_ENDED, 0, LC_BACKEND_CHANGED },
+      { "a", LC_BACKEND_DRAINING, 9, LC_BACKEND_LATE } },
+    false },
+  { "the end of one that was never seen",
+    { { "a", LC_BACKEND_ENDED, 0, LC_BACKEND_LATE } },
+    false },
+  { "started again",
+    { { "a", LC_BACKEND_DRAINING, 8, LC_BACKEND_STARTED },
+      { "b", LC_BACKEND_READY, 1, LC_BACKEND_STARTED },
+      { "a", LC_BACKEND_DRAINING, 9, LC_BACKEND_LATE },
+      { "a", LC_BACKEND_ENDED, 0, LC_BACKEND_LATE } },
+    true },
+};
+
+START_TEST (test_orders)
+{
+  const OrderCase *c = &ORDERS[_i];
+  LcBackendStatusDesc desc = { 0 };
+  LcBackendStatus status;
+
+  lc_backend_status_init (&status, &desc);
+  for (int i = 0; i < 6 && c->steps[i].id != NULL; i++)
+    {
+      LcBackendReport report = { .state = c->steps[i].state, .sequence = c->steps[i].sequence };
+
+      (void)strcpy (report.id, c->steps[i].id);
+      ck_assert_msg (lc_backend_status_take (&status, &report, 1000) == c->steps[i].expected,
+                     "%s: step %d", c->what, i);
+    }
+  ck_assert_msg (lc_backend_status_is_open (&status, 1000) == c->is_open, "%s", c->what);
+}
+END_TEST
+
+START_TEST (test_silence)
+{
+  static const struct
+  {
+    int64_t after_us;
+    bool is_open;
+  } CASES[] = { { 0, true }, { 2400000, true }, { 2500000, true }, { 2500001, false } };
+  LcBackendStatusDesc desc = { .interval_ms = 1000 };
+  LcBackendReport report = { .id = "a", .state = LC_BACKEND_READY, .sequence = 1 };
+  LcBackendStatus status;
+
+  lc_backend_status_init (&status, &desc);
+  ck_assert (!lc_backend_status_is_open (&status, 0));
+  ck_assert_uint_eq (lc_backend_status_instance (&status), 0);
+  (void)lc_backend_status_take (&status, &report, 0);
+  ck_assert_uint_ne (lc_backend_status_instance (&status), 0);
+  for (size_t i = 0; i < sizeof CASES / sizeof CASES[0]; i++)
+    ck_assert (lc_backend_status_is_open (&status, CASES[i].after_us) == CASES[i].is_open);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("report");
+  TCase *tcase = tcase_create ("report");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_loop_test (tcase, test_read, 0, (int)(sizeof READ / sizeof READ[0]));
+  tcase_add_loop_test (tcase, test_orders, 0, (int)(sizeof ORDERS / sizeof ORDERS[0]));
+  tcase_add_test (tcase, test_silence);
+  suite_add_tcase (suite, tcase);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? 0 : 1;
+}
--- a/tests/control/test-control-state.c
+++ b/tests/control/test-control-state.c
@@ -299,6 +299,118 @@
 }
 END_TEST
 
+/* === numbered declarations ================================================================== */
+
+typedef struct
+{
+  uint64_t number;
+  const char *service; /* of the one address that it declares; NULL: it declares none */
+  const char *text;
+} Numbered;
+
+static void
+declare_numbered (World *w, const Numbered *n)
+{
+  LcControlCommand c = { .kind = LC_COMMAND_NUMBERED };
+  LcDeclaration *d = &c.numbered.declaration;
+
+  c.numbered.number = n->number;
+  c.numbered.document = g_bytes_new (n->text, strlen (n->text));
+  d->n_services = 2;
+  d->services = g_new0 (LcDeclaredService, 2);
+  (void)g_strlcpy (d->services[0].name, "one", LC_NAME_MAX);
+  (void)g_strlcpy (d->services[1].name, "two", LC_NAME_MAX);
+  for (int i = 0; i < 2 && n->service != NULL; i++)
+    if (strcmp (d->services[i].name, n->service) == 0)
+      {
+        d->services[i].n_addresses = 1;
+        d->services[i].addresses = g_new0 (LcDeclaredAddress, 1);
+        d->services[i].addresses[0] = (LcDeclaredAddress){ 0xc6120001, 443, LC_PROTOCOL_TCP };
+      }
+  lc_control_state_apply (&w->state, ++w->index, &c);
+  lc_control_command_finish (&c);
+}
+
+static const struct
+{
+  const char *what;
+  Numbered first;
+  Numbered second;
+  uint64_t number;     /* in force after both */
+  const char *text;    /* read back */
+  const char *service; /* where the address leads */
+} NUMBERED[] = {
+  { "higher", { 3, "one", "a" }, { 9, "two", "b" }, 9, "b", "two" },
+  { "sent again", { 3, "one", "a" }, { 3, "one", "a" }, 3, "a", "one" },
+  { "other content, same number", { 3, "one", "a" }, { 3, "two", "b" }, 3, "a", "one" },
+  { "older", { 3, "one", "a" }, { 2, "two", "b" }, 3, "a", "one" },
+  { "address dropped", { 3, "one", "a" }, { 4, NULL, "b" }, 4, "b", NULL },
+};
+
+static void
+check_numbered (const World *w, int i)
+{
+  const LcAddress *a = lc_view_address (&w->state.view, 0xc6120001, 443, LC_PROTOCOL_TCP);
+  const LcService *s = a != NULL ? lc_view_service (&w->state.view, a->service_id) : NULL;
+  gsize len;
+  const char *text = g_bytes_get_data (w->state.numbered.document, &len);
+
+  ck_assert_msg (w->state.numbered.number == NUMBERED[i].number, "%s", NUMBERED[i].what);
+  ck_assert_msg (len == strlen (NUMBERED[i].text) && memcmp (text, NUMBERED[i].text, len) == 0,
+                 "%s", NUMBERED[i].what);
+  ck_assert_msg ((s == NULL) == (NUMBERED[i].service == NULL), "%s", NUMBERED[i].what);
+  if (s != NULL)
+    ck_assert_str_eq (s->name, NUMBERED[i].service);
+}
+
+START_TEST (test_numbered)
+{
+  World w = { 0 };
+  LcControlState read;
+  GBytes *packed;
+
+  lc_control_state_init (&w.state);
+  declare_numbered (&w, &NUMBERED[_i].first);
+  declare_numbered (&w, &NUMBERED[_i].second);
+  check_numbered (&w, _i);
+  /* It outlives a snapshot. */
+  packed = lc_control_state_pack (&w.state);
+  lc_control_state_init (&read);
+  ck_assert_int_eq (lc_control_state_unpack (&read, packed, NULL), 0);
+  lc_control_state_finish (&w.state);
+  w.state = read;
+  check_numbered (&w, _i);
+  g_bytes_unref (packed);
+  lc_control_state_finish (&w.state);
+}
+END_TEST
+
+/* A command is the same after it went through the log. */
+START_TEST (test_numbered_is_packed)
+{
+  LcControlCommand c = { .kind = LC_COMMAND_NUMBERED };
+  LcControlCommand read;
+  GBytes *packed;
+  gsize len;
+  const uint8_t *bytes;
+
+  c.numbered.number = 7;
+  c.numbered.document = g_bytes_new_static ("{\"version\":7}", 13);
+  c.numbered.declaration.n_services = 1;
+  c.numbered.declaration.services = g_new0 (LcDeclaredService, 1);
+  (void)g_strlcpy (c.numbered.declaration.services[0].name, "one", LC_NAME_MAX);
+  packed = lc_control_command_pack (&c);
+  bytes = g_bytes_get_data (packed, &len);
+  ck_assert_int_eq (lc_control_command_unpack (&read, bytes, len, NULL), 0);
+  ck_assert_uint_eq (read.numbered.number, 7);
+  ck_assert (g_bytes_equal (read.numbered.document, c.numbered.document));
+  ck_assert_str_eq (read.numbered.declaration.services[0].name, "one");
+  g_bytes_unref (packed);
+  lc_control_command_finish (&read);
+  lc_control_command_finish (&c);
+}
+END_TEST
+
 /* === snapshots ============================================================================== */
 
 START_TEST (test_snapshot_holds_everything)
@@ -400,6 +512,8 @@
   tcase_add_test (tcase, test_drain_outlives_a_restart);
   tcase_add_loop_test (tcase, test_member_changes, 0, (int)G_N_ELEMENTS (CHANGES));
   tcase_add_test (tcase, test_replaced_instance_stays_replaced);
+  tcase_add_loop_test (tcase, test_numbered, 0, (int)G_N_ELEMENTS (NUMBERED));
+  tcase_add_test (tcase, test_numbered_is_packed);
   tcase_add_test (tcase, test_snapshot_holds_everything);
   tcase_add_loop_test (tcase, test_bad_snapshot_is_refused, ANSWER_TWICE, UNKNOWN_PLAN_STATE + 1);
   suite_add_tcase (suite, tcase);
--- a/tests/fakes/lc-member-fake.c
+++ b/tests/fakes/lc-member-fake.c
@@ -206,3 +206,27 @@
 {
   return true;
 }
+
+LcInstance
+lc_member_instance (const LcMember *member)
+{
+  return member->desc.kind == LC_MEMBER_AGENT ? member->desc.endpoint.instance
+                                              : member->desc.balancer.instance;
+}
+
+bool
+lc_member_resume (LcMember *member)
+{
+  return false;
+}
+
+void
+lc_member_announce (LcMember *member, LcInstance instance, uint8_t slots)
+{
+  member->desc.endpoint.instance = instance;
+}
+
+void
+lc_member_keep (LcMember *member)
+{
+}
