Recovery: the chain from power back to the first view is shorter

Three waits were found in the log lines: - control opened a link to a member only when it first sent to it, so the first votes were lost and cost an election timeout: links are opened at the start; - an attempt to connect to a VM whose process has not begun hangs, and was given up after 1 s: new setting connect_timeout_ms (200 here), and reconnect_max_ms (120 here) for the waits between; - announcements waited for the next tick of 100 ms at the agent, the watcher and control: the tick is hastened to 2 ms.

Ruled out: serving the view from disk before a leader is known (the log's commit index is not on disk).

--- a/src/agent/lc-agent-settings.h
+++ b/src/agent/lc-agent-settings.h
@@ -44,6 +44,8 @@
   uint32_t udp_idle_ms;
   uint32_t tcp_idle_ms;
   uint32_t drain_limit_ms;
+  uint32_t connect_timeout_ms;
+  uint32_t reconnect_max_ms;
 } LcAgentSettings;
 
 extern const LcSettingsSchema LC_AGENT_SCHEMA;
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -192,6 +192,8 @@
                         .n_upstreams = p->settings.n_balancers,
                         .ramp_ms = p->settings.ramp_ms,
                         .is_held = lc_agent__is_reported (p),
+                        .reconnect_max_ms = p->settings.reconnect_max_ms,
+                        .connect_timeout_ms = p->settings.connect_timeout_ms,
                         .user = p,
                         .changed = lc_agent__on_view };
 
--- a/src/balancer/lc-balancer-settings.h
+++ b/src/balancer/lc-balancer-settings.h
@@ -23,6 +23,8 @@
   uint16_t control_peer_port;                       /* 0: as in `control` */
   uint32_t packet_format;                           /* LcPacketFormat */
   uint32_t drain_limit_ms;
+  uint32_t connect_timeout_ms;
+  uint32_t reconnect_max_ms;
   uint32_t drain_hold_ms; /* a planned stop forwards at least this long */
   uint32_t lease_ms;
 } LcBalancerSettings;
--- a/src/balancer/main.c
+++ b/src/balancer/main.c
@@ -110,6 +110,8 @@
                         .upstreams = p->settings.control,
                         .n_upstreams = p->settings.n_control,
                         .lease_ms = p->settings.lease_ms,
+                        .reconnect_max_ms = p->settings.reconnect_max_ms,
+                        .connect_timeout_ms = p->settings.connect_timeout_ms,
                         .user = p,
                         .changed = lc_balancer__on_view };
 
--- a/src/control/lc-control-settings.h
+++ b/src/control/lc-control-settings.h
@@ -33,6 +33,7 @@
   uint32_t request_timeout_ms;
   uint32_t lease_ms;
   uint32_t drain_limit_ms;
+  uint32_t connect_timeout_ms;
 } LcControlSettings;
 
 extern const LcSettingsSchema LC_CONTROL_SCHEMA;
--- a/src/control/lc-distributor.c
+++ b/src/control/lc-distributor.c
@@ -14,6 +14,7 @@
 enum
 {
   LC_DISTRIBUTOR_TICK_MS = 100,
+  LC_DISTRIBUTOR_SOON_MS = 2, /* announcements that come together are proposed together */
   LC_DISTRIBUTOR_SETTLE_MS = 200,
   LC_DISTRIBUTOR_PENDING_MS = 900, /* an equal proposal waits so long: below the resend time */
   LC_DISTRIBUTOR_SEED_MS = 500,
@@ -207,6 +208,7 @@
       return;
     }
   lc_watch_announce (&d->watch, &change, now_us);
+  lc_timer_hasten (&d->tick, LC_DISTRIBUTOR_SOON_MS);
   lc_distributor__send_status (d, link, false, now_us);
   if (hello->subscribe != NULL)
     lc_distributor__on_subscribe (d, link, hello->subscribe);
--- a/src/control/lc-replica-form.c
+++ b/src/control/lc-replica-form.c
@@ -28,6 +28,25 @@
   (void)lc_link_send (link, LC_FRAME_CONTROL_HELLO, &hello.base);
 }
 
+static void
+lc_replica__on_peer_up (void *user, LcLink *link)
+{
+  LcReplicaPeer *peer = user;
+
+  LC_INFO ("control.peer-up", "ipv4", LC_U64 (peer->ipv4), "port", LC_U64 (peer->port));
+  lc_replica__say_hello (user, link);
+}
+
+static void
+lc_replica__on_peer_down (void *user, LcLink *link, const char *why)
+{
+  LcReplicaPeer *peer = user;
+
+  (void)link;
+  LC_INFO ("control.peer-down", "ipv4", LC_U64 (peer->ipv4), "port", LC_U64 (peer->port), "why",
+           LC_STR (why));
+}
+
 static void
 lc_replica__on_peer_frame (void *user, LcLink *link, const LcFrame *frame)
 {
@@ -46,8 +65,9 @@
                             .port = port,
                             .source_ipv4 = replica->desc.settings->ipv4,
                             .backoff_max_ms = LC_REPLICA_BACKOFF_MAX_MS,
-                            .handler = { peer, lc_replica__on_peer_frame, lc_replica__say_hello,
-                                         NULL } };
+                            .connect_timeout_ms = replica->desc.settings->connect_timeout_ms,
+                            .handler = { peer, lc_replica__on_peer_frame, lc_replica__on_peer_up,
+                                         lc_replica__on_peer_down } };
 
   peer->replica = replica;
   peer->ipv4 = ipv4;
@@ -96,6 +116,16 @@
   peer->heard_us = lc_replica__now_us ();
 }
 
+void
+lc_replica__link_members (LcReplica *replica)
+{
+  const LcRaftConfig *config = &replica->raft.config;
+
+  for (uint32_t i = 0; i < config->n_members; i++)
+    if (config->members[i].id != replica->id)
+      (void)lc_replica__peer (replica, config->members[i].ipv4, config->members[i].peer_port);
+}
+
 static bool
 lc_replica__is_wanted (const LcReplica *replica, const LcReplicaPeer *peer)
 {
--- a/src/control/lc-replica-private.h
+++ b/src/control/lc-replica-private.h
@@ -25,6 +25,9 @@
  * members names it. */
 void lc_replica__note_sender (LcReplica *replica, LcReplicaId from, uint32_t ipv4, uint16_t port);
 /* Closes links to VMs that are members no more; outside of any link's callback. */
+/* Opens the links to the members: a vote that finds no link is lost, and costs an election timeout.
+ */
+void lc_replica__link_members (LcReplica *replica);
 void lc_replica__expire_peers (LcReplica *replica);
 void lc_replica__answer_hello (LcReplica *replica, LcLink *link);
 void lc_replica__on_hello_reply (LcReplica *replica, LcLink *link, const LcFrame *frame);
--- a/src/control/lc-replica.c
+++ b/src/control/lc-replica.c
@@ -139,6 +139,22 @@
   lc_store_task_snapshot (&replica->task, &snapshot);
 }
 
+/* One line for each leader that this VM knows of, also for none. */
+static void
+lc_replica__note_leader (LcReplica *replica)
+{
+  const LcRaft *raft = &replica->raft;
+  const LcRaftMember *leader = lc_raft_config_find (&raft->config, raft->leader);
+
+  if (raft->leader == replica->noted_leader && raft->term == replica->noted_term)
+    return;
+  replica->noted_leader = raft->leader;
+  replica->noted_term = raft->term;
+  LC_INFO ("control.leader", "leader", LC_STR (leader != NULL ? leader->name : ""), "is_self",
+           LC_U64 (lc_raft_is_leader (raft)), "term", LC_U64 (raft->term), "commit_index",
+           LC_U64 (raft->commit_index), "voters", LC_U64 (lc_raft_config_n_voters (&raft->config)));
+}
+
 /* === private: pumping ======================================================================= */
 
 static bool
@@ -175,6 +191,7 @@
   while (lc_replica__pump_once (replica))
     ;
   replica->is_pumping = false;
+  lc_replica__note_leader (replica);
   lc_replica__maybe_snapshot (replica);
   lc_replica__update_metrics (replica);
 }
@@ -258,7 +275,10 @@
   else if (lc_raft_is_leader (&replica->raft) && replica->state.replace.is_active)
     lc_replica__replace_step (replica);
   if (replica->is_formed)
-    lc_replica__expire_peers (replica);
+    {
+      lc_replica__link_members (replica);
+      lc_replica__expire_peers (replica);
+    }
 }
 
 /* === public: lifetime ======================================================================= */
@@ -288,6 +308,7 @@
   lc_store_found_finish (&replica->found);
   lc_store_task_init (&replica->task, &task);
   replica->is_formed = true;
+  lc_replica__link_members (replica);
   lc_replica__pump (replica);
 }
 
--- a/src/control/lc-replica.h
+++ b/src/control/lc-replica.h
@@ -106,6 +106,8 @@
   LcLogLimit log_limit;
   uint64_t snapshot_index; /* newest saved or being saved */
   bool is_snapshotting;
+  LcReplicaId noted_leader; /* as it was logged last */
+  uint64_t noted_term;
   bool is_pumping;
   bool has_disk_full;
   bool is_waiting_logged;
--- a/src/controller/lc-member-choose.c
+++ b/src/controller/lc-member-choose.c
@@ -71,6 +71,8 @@
   LcLinkClientDesc desc = { .loop = member->desc.app->loop,
                             .ipv4 = ipv4,
                             .port = port,
+                            .backoff_max_ms = member->desc.reconnect_max_ms,
+                            .connect_timeout_ms = member->desc.connect_timeout_ms,
                             .handler = { slot, lc_member__on_upstream_frame,
                                          lc_member__on_upstream_up, lc_member__on_upstream_down } };
 
--- a/src/controller/lc-member-private.h
+++ b/src/controller/lc-member-private.h
@@ -28,6 +28,11 @@
 void lc_member__on_upstream_up (void *user, LcLink *link);
 void lc_member__on_upstream_down (void *user, LcLink *link, const char *why);
 
+/* === lc-member.c ============================================================================ */
+
+/* Something changed that the tick acts on: it comes within a few milliseconds. */
+void lc_member__tick_soon (LcMember *member);
+
 /* === lc-member-choose.c: which upstreams, and which of them the view comes from ============== */
 
 void lc_member__add_seeds (LcMember *member);
--- a/src/controller/lc-member-serve.c
+++ b/src/controller/lc-member-serve.c
@@ -1,5 +1,7 @@
 #include "lc-member-serve.h"
 
+#include "lc-member-private.h"
+
 #include "core/member/lc-relays.h"
 #include "io/lc-clock.h"
 #include "io/lc-member-frames.h"
@@ -90,6 +92,7 @@
       return;
     }
   lc_watch_announce (&member->watch, &change, now_us);
+  lc_member__tick_soon (member);
   lc_member_serve__send_status (member, link, false, now_us);
   if (hello->subscribe != NULL)
     lc_member_serve__on_subscribe (member, link, hello->subscribe);
@@ -107,6 +110,8 @@
   if (renew->phase > LC_MEMBER_PHASE_MOVED)
     return;
   lc_wire_member_fold_read (&fold, renew->fold);
+  if (renew->phase == LC_MEMBER_PHASE_LEAVING)
+    lc_member__tick_soon (member);
   is_known = lc_watch_renew (&member->watch, renew->name, renew->instance,
                              (LcMemberPhase)renew->phase, renew->is_ramped, &fold, now_us);
   lc_member_serve__send_status (member, link, !is_known, now_us);
--- a/src/controller/lc-member-upstream.c
+++ b/src/controller/lc-member-upstream.c
@@ -228,6 +228,7 @@
     lc_view_server_publish (&member->server, ops, n_ops);
   if (member->desc.changed != NULL)
     member->desc.changed (member->desc.user, view, ops, n_ops, is_reset);
+  lc_member__tick_soon (member);
 }
 
 static void
@@ -335,6 +336,8 @@
 
   if (status == NULL)
     return;
+  if (!slot->is_known)
+    lc_member__tick_soon (member);
   slot->is_known = true;
   slot->revision = status->revision;
   slot->is_leader = status->is_leader;
--- a/src/controller/lc-member.c
+++ b/src/controller/lc-member.c
@@ -10,6 +10,7 @@
 enum
 {
   LC_MEMBER_TICK_MS = 100,
+  LC_MEMBER_SOON_MS = 2,              /* what comes together is acted on together */
   LC_MEMBER_LEAVE_PATIENCE_MS = 5000, /* a leaving node that hears nobody waits no longer */
 };
 
@@ -74,6 +75,12 @@
   lc_timer_start (&member->tick, LC_MEMBER_TICK_MS);
 }
 
+void
+lc_member__tick_soon (LcMember *member)
+{
+  lc_timer_hasten (&member->tick, LC_MEMBER_SOON_MS);
+}
+
 /* === public: lifetime ======================================================================= */
 
 static void
--- a/src/controller/lc-member.h
+++ b/src/controller/lc-member.h
@@ -63,9 +63,11 @@
   const char *service;              /* agents */
   const LcSocketAddress *upstreams; /* agents: balancers; balancers: control */
   uint32_t n_upstreams;
-  uint32_t lease_ms; /* 0: 3000; renewed three times in that */
-  uint32_t ramp_ms;  /* agents: from the first sight of itself in the view to "ramped" */
-  bool is_held;      /* agents: listen only, until lc_member_announce */
+  uint32_t lease_ms;           /* 0: 3000; renewed three times in that */
+  uint32_t reconnect_max_ms;   /* longest wait between attempts to reach an upstream; 0: 2000 */
+  uint32_t connect_timeout_ms; /* of one such attempt; 0: 1000 */
+  uint32_t ramp_ms;            /* agents: from the first sight of itself in the view to "ramped" */
+  bool is_held;                /* agents: listen only, until lc_member_announce */
   void *user;
   /* `ops` are what was just applied; `is_reset` says that the view was replaced by a snapshot. */
   void (*changed) (
--- a/src/io/lc-timer.c
+++ b/src/io/lc-timer.c
@@ -219,6 +219,14 @@
 }
 
 /* The timerfd may stay armed for the stopped timer: one idle wake-up is cheaper than a call. */
+void
+lc_timer_hasten (LcTimer *timer, uint32_t after_ms)
+{
+  if (timer->position == 0 ||
+      timer->deadline_us > lc_clock_now_us () + (int64_t)after_ms * LC_TIMER_US_PER_MS)
+    lc_timer_start (timer, after_ms);
+}
+
 void
 lc_timer_stop (LcTimer *timer)
 {
--- a/src/io/lc-timer.h
+++ b/src/io/lc-timer.h
@@ -46,6 +46,8 @@
 
 void lc_timer_init (LcTimer *timer, h2o_loop_t *loop, void (*fired) (void *user), void *user);
 void lc_timer_start (LcTimer *timer, uint32_t after_ms);
+/* Starts it, unless it fires as soon as that already. */
+void lc_timer_hasten (LcTimer *timer, uint32_t after_ms);
 void lc_timer_stop (LcTimer *timer);
 void lc_timer_finish (LcTimer *timer);
 
