Control: members that lost their disks are replaced without an operator; votes at once after a start of all

Change: lc-heal decides the next change of members from what the leader sees; a blank replica at a member's address, or one that stands by while a voter is silent, is taken in as a learner, promoted when it has caught up, and the lost one removed. An empty folder forms a cluster only if may_form. Off unless the settings say "heals". And: a replica that has just started votes for nobody for the shortest election timeout. When every voter says that it has just started and heard no leader since, no lease can stand, and they vote at once.

Ruled out: removing the lost member first (one live copy fewer on the way); electing with a majority of fresh voters (a leader may live among the others).

--- a/proto/lc-control.pb-c.c
+++ b/proto/lc-control.pb-c.c
@@ -1209,7 +1209,7 @@
   (ProtobufCMessageInit) lc__wire__log_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__raft_vote__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lc__wire__raft_vote__field_descriptors[5] =
 {
   {
     "last_index",
@@ -1259,8 +1259,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_fresh",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__RaftVote, is_fresh),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__raft_vote__field_indices_by_name[] = {
+  4,   /* field[4] = is_fresh */
   2,   /* field[2] = is_pre */
   3,   /* field[3] = is_transfer */
   0,   /* field[0] = last_index */
@@ -1269,7 +1282,7 @@
 static const ProtobufCIntRange lc__wire__raft_vote__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lc__wire__raft_vote__descriptor =
 {
@@ -1279,14 +1292,14 @@
   "Lc__Wire__RaftVote",
   "lc.wire",
   sizeof(Lc__Wire__RaftVote),
-  4,
+  5,
   lc__wire__raft_vote__field_descriptors,
   lc__wire__raft_vote__field_indices_by_name,
   1,  lc__wire__raft_vote__number_ranges,
   (ProtobufCMessageInit) lc__wire__raft_vote__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__raft_vote_reply__field_descriptors[2] =
+static const ProtobufCFieldDescriptor lc__wire__raft_vote_reply__field_descriptors[3] =
 {
   {
     "is_pre",
@@ -1312,15 +1325,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_fresh",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__RaftVoteReply, is_fresh),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__raft_vote_reply__field_indices_by_name[] = {
+  2,   /* field[2] = is_fresh */
   1,   /* field[1] = is_granted */
   0,   /* field[0] = is_pre */
 };
 static const ProtobufCIntRange lc__wire__raft_vote_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor lc__wire__raft_vote_reply__descriptor =
 {
@@ -1330,7 +1356,7 @@
   "Lc__Wire__RaftVoteReply",
   "lc.wire",
   sizeof(Lc__Wire__RaftVoteReply),
-  2,
+  3,
   lc__wire__raft_vote_reply__field_descriptors,
   lc__wire__raft_vote_reply__field_indices_by_name,
   1,  lc__wire__raft_vote_reply__number_ranges,
@@ -1865,7 +1891,7 @@
   (ProtobufCMessageInit) lc__wire__raft_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__control_hello__field_descriptors[3] =
+static const ProtobufCFieldDescriptor lc__wire__control_hello__field_descriptors[5] =
 {
   {
     "replica",
@@ -1903,16 +1929,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ipv4",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__ControlHello, ipv4),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__ControlHello, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__control_hello__field_indices_by_name[] = {
   1,   /* field[1] = cluster */
+  3,   /* field[3] = ipv4 */
   2,   /* field[2] = name */
+  4,   /* field[4] = port */
   0,   /* field[0] = replica */
 };
 static const ProtobufCIntRange lc__wire__control_hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lc__wire__control_hello__descriptor =
 {
@@ -1922,7 +1974,7 @@
   "Lc__Wire__ControlHello",
   "lc.wire",
   sizeof(Lc__Wire__ControlHello),
-  3,
+  5,
   lc__wire__control_hello__field_descriptors,
   lc__wire__control_hello__field_indices_by_name,
   1,  lc__wire__control_hello__number_ranges,
--- a/proto/lc-control.pb-c.h
+++ b/proto/lc-control.pb-c.h
@@ -68,10 +68,11 @@
   uint64_t last_term;
   protobuf_c_boolean is_pre;
   protobuf_c_boolean is_transfer;
+  protobuf_c_boolean is_fresh;
 };
 #define LC__WIRE__RAFT_VOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__raft_vote__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Lc__Wire__RaftVoteReply
@@ -79,10 +80,11 @@
   ProtobufCMessage base;
   protobuf_c_boolean is_pre;
   protobuf_c_boolean is_granted;
+  protobuf_c_boolean is_fresh;
 };
 #define LC__WIRE__RAFT_VOTE_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__raft_vote_reply__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Lc__Wire__RaftAppend
@@ -191,10 +193,15 @@
   uint64_t replica;
   uint64_t cluster;
   char *name;
+  uint32_t ipv4;
+  /*
+   * where the sender listens
+   */
+  uint32_t port;
 };
 #define LC__WIRE__CONTROL_HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__control_hello__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Lc__Wire__ControlHelloReply
--- a/src/control/lc-control-settings.c
+++ b/src/control/lc-control-settings.c
@@ -61,6 +61,18 @@
     FIELD (members_peer_port),
     .unit = "port",
     .help = "stands for the ports in `members`; 0: they count" },
+  { .path = "may_form",
+    .kind = LC_SETTING_BOOL,
+    FIELD (may_form),
+    .default_u64 = 1,
+    .help = "whether an empty data folder may form a new cluster with the other members" },
+  { .path = "heals",
+    .kind = LC_SETTING_BOOL,
+    FIELD (heals),
+    .default_u64 = 0,
+    .help =
+        "whether members that lost their disks, or stay silent while an empty one stands by, are "
+        "replaced without an operator" },
   { .path = "heartbeat_ms",
     .kind = LC_SETTING_U32,
     FIELD (heartbeat_ms),
--- a/src/control/lc-control-settings.h
+++ b/src/control/lc-control-settings.h
@@ -26,6 +26,8 @@
   LcSocketAddress members[LC_CONTROL_MEMBERS_MAX];
   uint32_t n_members;
   uint16_t members_peer_port; /* 0: as in `members` */
+  bool may_form; /* false: the cluster was formed before, whatever the data folder says */
+  bool heals;    /* lost members are replaced without an operator */
   uint32_t heartbeat_ms;
   uint32_t election_min_ms;
   uint32_t election_max_ms;
--- a/src/control/lc-raft-codec.c
+++ b/src/control/lc-raft-codec.c
@@ -40,6 +40,7 @@
   w->vote->last_term = m->vote.last_term;
   w->vote->is_pre = m->vote.is_pre;
   w->vote->is_transfer = m->vote.is_transfer;
+  w->vote->is_fresh = m->vote.is_fresh;
   w->body_case = LC__WIRE__RAFT_MESSAGE__BODY_VOTE;
 }
 
@@ -50,6 +51,7 @@
   lc__wire__raft_vote_reply__init (w->vote_reply);
   w->vote_reply->is_pre = m->vote_reply.is_pre;
   w->vote_reply->is_granted = m->vote_reply.is_granted;
+  w->vote_reply->is_fresh = m->vote_reply.is_fresh;
   w->body_case = LC__WIRE__RAFT_MESSAGE__BODY_VOTE_REPLY;
 }
 
@@ -184,6 +186,7 @@
   m->vote.last_term = w->last_term;
   m->vote.is_pre = w->is_pre;
   m->vote.is_transfer = w->is_transfer;
+  m->vote.is_fresh = w->is_fresh;
 }
 
 static void
@@ -213,6 +216,7 @@
     case LC__WIRE__RAFT_MESSAGE__BODY_VOTE_REPLY:
       m->vote_reply.is_pre = w->vote_reply->is_pre;
       m->vote_reply.is_granted = w->vote_reply->is_granted;
+      m->vote_reply.is_fresh = w->vote_reply->is_fresh;
       return w->kind == LC_RAFT_VOTE_REPLY;
     case LC__WIRE__RAFT_MESSAGE__BODY_APPEND:
       return w->kind == LC_RAFT_APPEND && lc_codec__read_append (m, w->append);
--- a/src/control/lc-replica-form.c
+++ b/src/control/lc-replica-form.c
@@ -1,6 +1,8 @@
 #include "lc-replica-private.h"
 
 #include "io/lc-clock.h"
+
+#include "core/control/lc-heal.h"
 #include "lc-control-frames.h"
 #include "proto/lc-control.pb-c.h"
 
@@ -11,6 +13,7 @@
 {
   LC_REPLICA_BACKOFF_MAX_MS = 200,
   LC_REPLICA_HEARD_US = 2000000,   /* an answer older than this doesn't count for forming */
+  LC_REPLICA_SURE_US = 500000,     /* a member heard within this needs no greeting */
   LC_REPLICA_FORGET_US = 30000000, /* a VM that is no member and silent this long is forgotten */
 };
 
@@ -25,6 +28,8 @@
   hello.replica = peer->replica->id;
   hello.cluster = peer->replica->cluster;
   hello.name = (char *)peer->replica->desc.settings->name;
+  hello.ipv4 = peer->replica->desc.settings->ipv4;
+  hello.port = peer->replica->desc.settings->peer_port;
   (void)lc_link_send (link, LC_FRAME_CONTROL_HELLO, &hello.base);
 }
 
@@ -163,6 +168,25 @@
 
 /* === hello ================================================================================== */
 
+/* A blank replica that greets is greeted back, so that it is known where it stands by. */
+void
+lc_replica__on_hello (LcReplica *replica, LcLink *link, const LcFrame *frame)
+{
+  Lc__Wire__ControlHello *m =
+      lc__wire__control_hello__unpack (NULL, frame->payload_len, frame->payload);
+
+  if (m == NULL)
+    {
+      lc_metric_add (replica->metrics.malformed_total, 1);
+      return;
+    }
+  if (m->cluster == 0 && m->replica != replica->id && m->ipv4 != 0 && m->port != 0 &&
+      m->port <= UINT16_MAX)
+    (void)lc_replica__peer (replica, m->ipv4, (uint16_t)m->port);
+  lc__wire__control_hello__free_unpacked (m, NULL);
+  lc_replica__answer_hello (replica, link);
+}
+
 void
 lc_replica__answer_hello (LcReplica *replica, LcLink *link)
 {
@@ -331,7 +355,7 @@
     }
   if (formed != NULL)
     lc_replica__log_waiting (replica, formed);
-  else if (lc_replica__gather_founders (replica, &config))
+  else if (replica->desc.settings->may_form && lc_replica__gather_founders (replica, &config))
     {
       bytes = lc_raft_config_encode (&config);
       data = g_bytes_get_data (bytes, &len);
@@ -358,6 +382,73 @@
   return replica->is_formed;
 }
 
+/* === healing ================================================================================ */
+
+static void
+lc_replica__change (LcReplica *replica, LcRaftChange change, const LcRaftMember *member)
+{
+  static const char *const NAMES[] = { "", "add-learner", "promote", "remove" };
+  LcError error = { 0 };
+  int r = lc_raft_propose_change (&replica->raft, change, member, lc_replica__now_us (), &error);
+
+  if (r == 0)
+    LC_INFO ("control.member-change", "change", LC_STR (NAMES[change]), "member",
+             LC_STR (member->name));
+  else
+    LC_DEBUG ("control.member-change-waits", "message", LC_STR (error.message));
+  lc_replica__pump (replica);
+}
+
+static void
+lc_replica__see (LcReplica *replica, const LcReplicaPeer *peer, LcHealSeen *seen)
+{
+  const LcRaftProgress *progress = lc_raft_progress (&replica->raft, peer->id);
+  int64_t heard_us = lc_replica__now_us () - peer->heard_us;
+
+  memset (seen, 0, sizeof *seen);
+  seen->id = peer->id;
+  seen->ipv4 = peer->ipv4;
+  seen->port = peer->port;
+  seen->is_blank = peer->cluster == 0;
+  seen->silent_us = heard_us;
+  if (progress != NULL)
+    {
+      seen->has_caught_up = lc_raft_has_caught_up (&replica->raft, peer->id);
+      seen->silent_us = MIN (heard_us, replica->raft.clock_us - progress->heard_clock_us);
+    }
+  (void)g_strlcpy (seen->name, peer->name, sizeof seen->name);
+}
+
+/* Greets whoever is not known well enough: members that don't answer, and those that stand by. */
+static void
+lc_replica__greet_unsure (LcReplica *replica, LcReplicaPeer *peer)
+{
+  const LcRaftProgress *progress = lc_raft_progress (&replica->raft, peer->id);
+  bool is_sure =
+      progress != NULL && replica->raft.clock_us - progress->heard_clock_us < LC_REPLICA_SURE_US;
+
+  if (!is_sure)
+    lc_replica__say_hello (peer, lc_link_client_link (&peer->client));
+}
+
+void
+lc_replica__heal_step (LcReplica *replica)
+{
+  LcHealDesc desc = { .self = replica->id, .n_voters = replica->desc.settings->n_members };
+  LcHealSeen seen[LC_REPLICA_PEERS_MAX];
+  LcHealChange change;
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < LC_REPLICA_PEERS_MAX && replica->peers[i] != NULL; i++)
+    {
+      lc_replica__greet_unsure (replica, replica->peers[i]);
+      if (replica->peers[i]->id != 0)
+        lc_replica__see (replica, replica->peers[i], &seen[n++]);
+    }
+  if (lc_heal_next (&desc, &replica->raft.config, seen, n, &change))
+    lc_replica__change (replica, change.kind, &change.member);
+}
+
 /* === replacing a member ===================================================================== */
 
 /* A member of the old name that is not the newcomer. */
@@ -386,21 +477,6 @@
   (void)lc_replica_propose (replica, &command, &error);
 }
 
-static void
-lc_replica__change (LcReplica *replica, LcRaftChange change, const LcRaftMember *member)
-{
-  static const char *const NAMES[] = { "", "add-learner", "promote", "remove" };
-  LcError error = { 0 };
-  int r = lc_raft_propose_change (&replica->raft, change, member, lc_replica__now_us (), &error);
-
-  if (r == 0)
-    LC_INFO ("control.member-change", "change", LC_STR (NAMES[change]), "member",
-             LC_STR (member->name));
-  else
-    LC_DEBUG ("control.member-change-waits", "message", LC_STR (error.message));
-  lc_replica__pump (replica);
-}
-
 /* One step at a time, each from what the log says now, so that a new leader goes on where the old
  * one stopped. */
 void
--- a/src/control/lc-replica-private.h
+++ b/src/control/lc-replica-private.h
@@ -24,16 +24,19 @@
 /* A log message came from this address: it is answered there, whether or not this VM's own list of
  * members names it. */
 void lc_replica__note_sender (LcReplica *replica, LcReplicaId from, uint32_t ipv4, uint16_t port);
-/* Closes links to VMs that are members no more; outside of any link's callback. */
 /* Opens the links to the members: a vote that finds no link is lost, and costs an election timeout.
  */
 void lc_replica__link_members (LcReplica *replica);
+/* Closes links to VMs that are members no more; outside of any link's callback. */
 void lc_replica__expire_peers (LcReplica *replica);
+void lc_replica__on_hello (LcReplica *replica, LcLink *link, const LcFrame *frame);
 void lc_replica__answer_hello (LcReplica *replica, LcLink *link);
 void lc_replica__on_hello_reply (LcReplica *replica, LcLink *link, const LcFrame *frame);
 /* A log message reached a VM that belongs to no cluster yet: whether it may join. */
 bool lc_replica__may_join (LcReplica *replica, const LcRaftMessage *message, uint64_t cluster);
 void lc_replica__form_step (LcReplica *replica);
 void lc_replica__replace_step (LcReplica *replica);
+/* The next step towards the wanted number of voters; on the leader. */
+void lc_replica__heal_step (LcReplica *replica);
 
 #endif /* LC_REPLICA_PRIVATE_H */
--- a/src/control/lc-replica.c
+++ b/src/control/lc-replica.c
@@ -274,6 +274,8 @@
     lc_replica__form_step (replica);
   else if (lc_raft_is_leader (&replica->raft) && replica->state.replace.is_active)
     lc_replica__replace_step (replica);
+  else if (lc_raft_is_leader (&replica->raft) && replica->desc.settings->heals)
+    lc_replica__heal_step (replica);
   if (replica->is_formed)
     {
       lc_replica__link_members (replica);
@@ -446,7 +448,7 @@
       lc_replica__on_raft (replica, frame);
       break;
     case LC_FRAME_CONTROL_HELLO:
-      lc_replica__answer_hello (replica, link);
+      lc_replica__on_hello (replica, link, frame);
       break;
     case LC_FRAME_CONTROL_HELLO_REPLY:
       lc_replica__on_hello_reply (replica, link, frame);
--- /dev/null
+++ b/src/core/control/lc-heal.c
@@ -0,0 +1,177 @@
+#include "lc-heal.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* A replica counts as there while it was heard within this time: two greetings, and a little. */
+#define LC_HEAL_HERE_US (1 * LC_US_PER_S)
+#define LC_HEAL_GONE_US (2 * LC_US_PER_S)
+/* A learner that is silent for so long is given up: another may stand by. */
+#define LC_HEAL_LEARNER_US (10 * LC_US_PER_S)
+
+/* === private: who is there ================================================================== */
+
+static const LcHealSeen *
+lc_heal__find (const LcHealSeen *seen, uint32_t n, LcReplicaId id)
+{
+  for (uint32_t i = 0; i < n; i++)
+    if (seen[i].id == id)
+      return &seen[i];
+  return NULL;
+}
+
+static int64_t
+lc_heal__silent_us (const LcHealSeen *seen, uint32_t n, LcReplicaId id)
+{
+  const LcHealSeen *s = lc_heal__find (seen, n, id);
+
+  return s != NULL ? s->silent_us : INT64_MAX;
+}
+
+/* Who speaks from the member's address instead of it, or NULL. */
+static const LcHealSeen *
+lc_heal__successor (const LcRaftMember *member, const LcHealSeen *seen, uint32_t n)
+{
+  for (uint32_t i = 0; i < n; i++)
+    if (seen[i].id != member->id && seen[i].ipv4 == member->ipv4 &&
+        seen[i].port == member->peer_port && seen[i].silent_us <= LC_HEAL_HERE_US)
+      return &seen[i];
+  return NULL;
+}
+
+static bool
+lc_heal__is_address_of (const LcRaftConfig *config, const LcHealSeen *s)
+{
+  for (uint32_t i = 0; i < config->n_members; i++)
+    if (config->members[i].ipv4 == s->ipv4 && config->members[i].peer_port == s->port)
+      return true;
+  return false;
+}
+
+/* === private: changes ======================================================================= */
+
+static bool
+lc_heal__change (LcHealChange *change, LcRaftChange kind, const LcRaftMember *member)
+{
+  change->kind = kind;
+  change->member = *member;
+  return true;
+}
+
+static bool
+lc_heal__add (LcHealChange *change, const LcHealSeen *s)
+{
+  LcRaftMember member = { .id = s->id, .ipv4 = s->ipv4, .peer_port = s->port, .is_learner = true };
+
+  (void)g_strlcpy (member.name, s->name, sizeof member.name);
+  return lc_heal__change (change, LC_RAFT_ADD_LEARNER, &member);
+}
+
+static const LcRaftMember *
+lc_heal__learner (const LcRaftConfig *config)
+{
+  for (uint32_t i = 0; i < config->n_members; i++)
+    if (config->members[i].is_learner)
+      return &config->members[i];
+  return NULL;
+}
+
+/* One learner at a time. */
+static bool
+lc_heal__learner_step (const LcRaftMember *learner,
+                       const LcHealSeen *seen,
+                       uint32_t n_seen,
+                       LcHealChange *change)
+{
+  const LcHealSeen *s = lc_heal__find (seen, n_seen, learner->id);
+
+  if (s != NULL && s->has_caught_up && s->silent_us <= LC_HEAL_HERE_US)
+    return lc_heal__change (change, LC_RAFT_PROMOTE, learner);
+  if (lc_heal__silent_us (seen, n_seen, learner->id) > LC_HEAL_LEARNER_US ||
+      lc_heal__successor (learner, seen, n_seen) != NULL)
+    return lc_heal__change (change, LC_RAFT_REMOVE, learner);
+  return false;
+}
+
+/* A member that has lost its disk: another replica speaks from its address. */
+static bool
+lc_heal__lost_step (const LcHealDesc *desc,
+                    const LcRaftConfig *config,
+                    const LcHealSeen *seen,
+                    uint32_t n_seen,
+                    LcHealChange *change)
+{
+  for (uint32_t i = 0; i < config->n_members; i++)
+    {
+      const LcRaftMember *member = &config->members[i];
+      const LcHealSeen *successor = lc_heal__successor (member, seen, n_seen);
+
+      if (member->id == desc->self || successor == NULL)
+        continue;
+      if (lc_raft_config_find (config, successor->id) != NULL)
+        return lc_heal__change (change, LC_RAFT_REMOVE, member);
+      if (successor->is_blank)
+        return lc_heal__add (change, successor);
+    }
+  return false;
+}
+
+/* The voter that has been silent the longest, if that is long enough. */
+static const LcRaftMember *
+lc_heal__gone (const LcHealDesc *desc,
+               const LcRaftConfig *config,
+               const LcHealSeen *seen,
+               uint32_t n_seen)
+{
+  int64_t longest_us = (desc->gone_us != 0 ? desc->gone_us : LC_HEAL_GONE_US) - 1;
+  const LcRaftMember *gone = NULL;
+
+  for (uint32_t i = 0; i < config->n_members; i++)
+    {
+      const LcRaftMember *member = &config->members[i];
+      int64_t silent_us = lc_heal__silent_us (seen, n_seen, member->id);
+
+      if (member->id == desc->self || member->is_learner || silent_us <= longest_us)
+        continue;
+      gone = member;
+      longest_us = silent_us;
+    }
+  return gone;
+}
+
+static const LcHealSeen *
+lc_heal__standby (const LcRaftConfig *config, const LcHealSeen *seen, uint32_t n_seen)
+{
+  for (uint32_t i = 0; i < n_seen; i++)
+    if (seen[i].is_blank && seen[i].silent_us <= LC_HEAL_HERE_US &&
+        lc_raft_config_find (config, seen[i].id) == NULL &&
+        !lc_heal__is_address_of (config, &seen[i]))
+      return &seen[i];
+  return NULL;
+}
+
+/* === public ================================================================================= */
+
+bool
+lc_heal_next (const LcHealDesc *desc,
+              const LcRaftConfig *config,
+              const LcHealSeen *seen,
+              uint32_t n_seen,
+              LcHealChange *change)
+{
+  uint32_t n_voters = lc_raft_config_n_voters (config);
+  const LcRaftMember *learner = lc_heal__learner (config);
+  const LcRaftMember *gone = lc_heal__gone (desc, config, seen, n_seen);
+  const LcHealSeen *standby = lc_heal__standby (config, seen, n_seen);
+
+  if (learner != NULL)
+    return lc_heal__learner_step (learner, seen, n_seen, change);
+  if (lc_heal__lost_step (desc, config, seen, n_seen, change))
+    return true;
+  if (n_voters > desc->n_voters && gone != NULL)
+    return lc_heal__change (change, LC_RAFT_REMOVE, gone);
+  if (standby != NULL &&
+      (n_voters < desc->n_voters || (n_voters == desc->n_voters && gone != NULL)))
+    return lc_heal__add (change, standby);
+  return false;
+}
--- a/src/core/control/lc-raft-elect.c
+++ b/src/core/control/lc-raft-elect.c
@@ -72,8 +72,16 @@
   lc_raft__reset_election_timer (raft);
 }
 
+/* Why a vote is asked for before the last leader's lease has surely ended. */
+typedef enum
+{
+  LC_RAFT_VOTE_USUAL,
+  LC_RAFT_VOTE_TRANSFER, /* the leader asked for it */
+  LC_RAFT_VOTE_FRESH,    /* every voter has just started */
+} LcRaftVoteReason;
+
 static void
-lc_raft__ask_for_votes (LcRaft *raft, bool is_pre, bool is_transfer)
+lc_raft__ask_for_votes (LcRaft *raft, bool is_pre, LcRaftVoteReason reason)
 {
   uint64_t last = lc_raft_last_index (raft);
 
@@ -88,14 +96,15 @@
       message.vote.last_index = last;
       message.vote.last_term = lc_raft_term_at (raft, last);
       message.vote.is_pre = is_pre;
-      message.vote.is_transfer = is_transfer;
+      message.vote.is_transfer = reason == LC_RAFT_VOTE_TRANSFER;
+      message.vote.is_fresh = reason == LC_RAFT_VOTE_FRESH;
       lc_raft__send (raft, &message);
     }
 }
 
 /* Its own vote counts only once it is on disk: see lc_raft_persisted. */
 static void
-lc_raft__become_candidate (LcRaft *raft, bool is_transfer)
+lc_raft__become_candidate (LcRaft *raft, LcRaftVoteReason reason)
 {
   raft->role = LC_RAFT_CANDIDATE;
   raft->leader = 0;
@@ -105,7 +114,7 @@
   raft->leader_match_index = 0;
   lc_raft__drop_incoming (raft);
   lc_raft__reset_election_timer (raft);
-  lc_raft__ask_for_votes (raft, false, is_transfer);
+  lc_raft__ask_for_votes (raft, false, reason);
 }
 
 void
@@ -115,7 +124,7 @@
   raft->leader = 0;
   raft->n_votes = 0;
   lc_raft__reset_election_timer (raft);
-  lc_raft__ask_for_votes (raft, true, false);
+  lc_raft__ask_for_votes (raft, true, LC_RAFT_VOTE_USUAL);
   lc_raft__count_vote (raft, raft->desc.id);
 }
 
@@ -124,7 +133,7 @@
 {
   if (raft->role == LC_RAFT_PRE_CANDIDATE)
     {
-      lc_raft__become_candidate (raft, false);
+      lc_raft__become_candidate (raft, LC_RAFT_VOTE_USUAL);
       return;
     }
   raft->role = LC_RAFT_LEADER;
@@ -147,6 +156,63 @@
     lc_raft__win (raft);
 }
 
+/* === after a start of all =========================================================== */
+
+/* A replica that has just started votes for nobody at first: it may have acknowledged a leader
+ * right before, and forgotten the lease with it.  After all power was lost there is no such leader,
+ * and the wait costs a good part of the recovery.  So a fresh replica asks the others whether they
+ * are fresh, too.  When every voter says so, each of them has ended as a leader, if it was one, and
+ * none has heard one since: there is no lease to keep, and it stands at once.  A voter that has
+ * heard a leader meanwhile refuses: it is no longer fresh. */
+enum
+{
+  LC_RAFT_FRESH_SPREAD_MS = 30, /* so that two seldom stand at the same time */
+  LC_RAFT_FRESH_AGAIN_MS = 40,
+};
+
+static int64_t
+lc_raft__fresh_wait_us (LcRaft *raft, int64_t at_least_ms)
+{
+  return (at_least_ms + (int64_t)(lc_raft__random (raft) % LC_RAFT_FRESH_SPREAD_MS)) * 1000;
+}
+
+void
+lc_raft__fresh_start (LcRaft *raft)
+{
+  raft->is_fresh = true;
+  raft->fresh_clock_us = raft->clock_us + lc_raft__fresh_wait_us (raft, 0);
+}
+
+void
+lc_raft__fresh_tick (LcRaft *raft)
+{
+  if (raft->clock_us >= lc_raft__election_min_us (raft))
+    raft->is_fresh = false;
+  if (!raft->is_fresh || raft->clock_us < raft->fresh_clock_us || raft->role != LC_RAFT_FOLLOWER ||
+      !lc_raft__may_stand (raft))
+    return;
+  raft->fresh_clock_us = raft->clock_us + lc_raft__fresh_wait_us (raft, LC_RAFT_FRESH_AGAIN_MS);
+  raft->votes[0] = raft->desc.id;
+  raft->n_votes = 1;
+  lc_raft__ask_for_votes (raft, true, LC_RAFT_VOTE_FRESH);
+}
+
+static void
+lc_raft__on_fresh_reply (LcRaft *raft, const LcRaftMessage *m)
+{
+  if (!raft->is_fresh || raft->role != LC_RAFT_FOLLOWER || m->term != raft->term + 1 ||
+      !m->vote_reply.is_granted || !lc_raft_config_is_voter (&raft->config, m->from))
+    return;
+  for (uint32_t i = 0; i < raft->n_votes; i++)
+    if (raft->votes[i] == m->from)
+      return;
+  if (raft->n_votes == LC_RAFT_MEMBERS_MAX)
+    return;
+  raft->votes[raft->n_votes++] = m->from;
+  if (raft->n_votes == lc_raft_config_n_voters (&raft->config))
+    lc_raft__become_candidate (raft, LC_RAFT_VOTE_FRESH);
+}
+
 /* === votes ========================================================================= */
 
 static bool
@@ -164,6 +230,8 @@
 {
   if (raft->is_suspended || !lc_raft__is_up_to_date (raft, m))
     return false;
+  if (m->vote.is_pre && m->vote.is_fresh)
+    return m->term > raft->term && raft->is_fresh && raft->role == LC_RAFT_FOLLOWER;
   if (m->vote.is_pre)
     return m->term > raft->term && !lc_raft__is_bound (raft);
   return m->term == raft->term && raft->role < LC_RAFT_CANDIDATE &&
@@ -176,6 +244,7 @@
   LcRaftMessage reply = { .kind = LC_RAFT_VOTE_REPLY, .to = m->from };
 
   reply.vote_reply.is_pre = m->vote.is_pre;
+  reply.vote_reply.is_fresh = m->vote.is_fresh;
   reply.vote_reply.is_granted = lc_raft__grants (raft, m);
   if (reply.vote_reply.is_granted && !m->vote.is_pre)
     {
@@ -193,6 +262,11 @@
   bool is_pre = raft->role == LC_RAFT_PRE_CANDIDATE;
   uint64_t wanted_term = is_pre ? raft->term + 1 : raft->term;
 
+  if (m->vote_reply.is_pre && m->vote_reply.is_fresh)
+    {
+      lc_raft__on_fresh_reply (raft, m);
+      return;
+    }
   if ((!is_pre && raft->role != LC_RAFT_CANDIDATE) || m->vote_reply.is_pre != is_pre ||
       m->term != wanted_term || !m->vote_reply.is_granted)
     return;
@@ -211,5 +285,5 @@
 lc_raft__on_timeout_now (LcRaft *raft)
 {
   if (raft->role == LC_RAFT_FOLLOWER && lc_raft__may_stand (raft))
-    lc_raft__become_candidate (raft, true);
+    lc_raft__become_candidate (raft, LC_RAFT_VOTE_TRANSFER);
 }
--- a/src/core/control/lc-raft-follow.c
+++ b/src/core/control/lc-raft-follow.c
@@ -15,6 +15,7 @@
     }
   lc_raft__become_follower (raft, raft->term, m->from);
   raft->heard_leader_clock_us = raft->clock_us;
+  raft->is_fresh = false;
   raft->vouched_clock_us = raft->clock_us;
   return true;
 }
--- a/src/core/control/lc-raft-private.h
+++ b/src/core/control/lc-raft-private.h
@@ -28,6 +28,9 @@
 void lc_raft__reset_election_timer (LcRaft *raft);
 /* Whether a leader may still count on this replica not to vote for another. */
 bool lc_raft__is_bound (const LcRaft *raft);
+/* A replica that has just started asks whether all have: see lc-raft-elect.c. */
+void lc_raft__fresh_start (LcRaft *raft);
+void lc_raft__fresh_tick (LcRaft *raft);
 bool lc_raft__may_stand (const LcRaft *raft);
 void lc_raft__become_follower (LcRaft *raft, uint64_t term, LcReplicaId leader);
 void lc_raft__become_pre_candidate (LcRaft *raft);
--- a/src/core/control/lc-raft-types.h
+++ b/src/core/control/lc-raft-types.h
@@ -124,11 +124,13 @@
         uint64_t last_term;
         bool is_pre;
         bool is_transfer; /* the leader asked for it: its lease doesn't stand in the way */
+        bool is_fresh;    /* all voters have just started: nobody's lease stands in the way */
       } vote;
       struct
       {
         bool is_pre;
         bool is_granted;
+        bool is_fresh; /* answers a vote that is */
       } vote_reply;
       struct
       {
--- a/src/core/control/lc-raft.c
+++ b/src/core/control/lc-raft.c
@@ -121,6 +121,7 @@
   /* It may have heard a leader just before it was restarted: heard_leader_clock_us stays at the
    * start of its clock, so that it keeps that leader's lease. */
   lc_raft__reset_election_timer (raft);
+  lc_raft__fresh_start (raft);
 }
 
 void
@@ -146,6 +147,7 @@
       lc_raft__leader_tick (raft);
       return;
     }
+  lc_raft__fresh_tick (raft);
   if (raft->clock_us < raft->election_clock_us)
     return;
   if (lc_raft__may_stand (raft))
@@ -161,7 +163,8 @@
   switch (m->kind)
     {
     case LC_RAFT_VOTE:
-      return !m->vote.is_pre && (m->vote.is_transfer || !lc_raft__is_bound (raft));
+      return !m->vote.is_pre && (m->vote.is_transfer || (m->vote.is_fresh && raft->is_fresh) ||
+                                 !lc_raft__is_bound (raft));
     case LC_RAFT_VOTE_REPLY:
       return !m->vote_reply.is_granted;
     default:
--- a/src/core/control/lc-raft.h
+++ b/src/core/control/lc-raft.h
@@ -147,6 +147,9 @@
     int64_t clock_us; /* see CLOCKS */
     int64_t election_clock_us;
     int64_t heard_leader_clock_us;
+    bool is_fresh;            /* no leader heard since the start, which was less than the shortest
+                                 election timeout ago */
+    int64_t fresh_clock_us;   /* when to ask next whether all voters are fresh */
     int64_t vouched_clock_us; /* when a leader was last heard, or it last led with a quorum */
     int64_t heartbeat_clock_us;
     int64_t transfer_until_clock_us; /* 0: no transfer is under way */
--- /dev/null
+++ b/tests/control/test-heal.c
@@ -0,0 +1,193 @@
+/* Which member is added, promoted or removed next: a table of what the leader sees. */
+#include "core/control/lc-heal.h"
+
+#include <check.h>
+#include <string.h>
+
+enum
+{
+  SELF = 1,
+  N_VOTERS = 3,
+  NEVER = -1,
+  HERE = 0,
+};
+
+/* A member or another replica.  Its address is `at`; id 0 ends a list. */
+typedef struct
+{
+  LcReplicaId id;
+  uint32_t at;
+  bool is_learner;
+} Member;
+
+typedef struct
+{
+  LcReplicaId id;
+  uint32_t at;
+  int64_t silent_ms; /* NEVER */
+  bool is_blank;
+  bool has_caught_up;
+} Seen;
+
+typedef struct
+{
+  const char *what;
+  Member members[5];
+  Seen seen[5];
+  LcRaftChange change; /* 0: none */
+  LcReplicaId id;
+} Case;
+
+#define THREE                                                                                      \
+  {                                                                                                \
+    { 1, 1 }, { 2, 2 },                                                                            \
+    {                                                                                              \
+      3, 3                                                                                         \
+    }                                                                                              \
+  }
+
+static const Case CASES[] = {
+  { "all are there", THREE, { { 2, 2, HERE }, { 3, 3, HERE } }, 0, 0 },
+  { "one is silent, nobody stands by", THREE, { { 2, 2, HERE }, { 3, 3, 60000 } }, 0, 0 },
+  { "one never spoke, nobody stands by", THREE, { { 2, 2, HERE } }, 0, 0 },
+  { "one stands by, nobody is silent",
+    THREE,
+    { { 2, 2, HERE }, { 3, 3, HERE }, { 9, 9, HERE, true } },
+    0,
+    0 },
+  { "a lost disk", THREE, { { 2, 2, HERE }, { 9, 3, HERE, true } }, LC_RAFT_ADD_LEARNER, 9 },
+  { "a lost disk, and the old word still there",
+    THREE,
+    { { 2, 2, HERE }, { 3, 3, 100 }, { 9, 3, HERE, true } },
+    LC_RAFT_ADD_LEARNER,
+    9 },
+  { "a blank one spoke at a member's address, but long ago",
+    THREE,
+    { { 2, 2, HERE }, { 9, 3, 5000, true } },
+    0,
+    0 },
+  { "another cluster's replica at a member's address",
+    THREE,
+    { { 2, 2, HERE }, { 9, 3, HERE, false } },
+    0,
+    0 },
+  { "a learner that is behind",
+    { { 1, 1 }, { 2, 2 }, { 3, 3 }, { 9, 3, true } },
+    { { 2, 2, HERE }, { 9, 3, HERE } },
+    0,
+    0 },
+  { "a learner that has caught up",
+    { { 1, 1 }, { 2, 2 }, { 3, 3 }, { 9, 3, true } },
+    { { 2, 2, HERE }, { 9, 3, HERE, false, true } },
+    LC_RAFT_PROMOTE,
+    9 },
+  { "a learner that has caught up and fell silent",
+    { { 1, 1 }, { 2, 2 }, { 3, 3 }, { 9, 3, true } },
+    { { 2, 2, HERE }, { 9, 3, 3000, false, true } },
+    0,
+    0 },
+  { "a learner that is gone for long",
+    { { 1, 1 }, { 2, 2 }, { 3, 3 }, { 9, 3, true } },
+    { { 2, 2, HERE }, { 9, 3, 11000 } },
+    LC_RAFT_REMOVE,
+    9 },
+  { "a learner that lost its disk in turn",
+    { { 1, 1 }, { 2, 2 }, { 3, 3 }, { 9, 3, true } },
+    { { 2, 2, HERE }, { 9, 3, 500 }, { 10, 3, HERE, true } },
+    LC_RAFT_REMOVE,
+    9 },
+  { "the newcomer votes: the lost one goes",
+    { { 1, 1 }, { 2, 2 }, { 3, 3 }, { 9, 3 } },
+    { { 2, 2, HERE }, { 9, 3, HERE, false, true } },
+    LC_RAFT_REMOVE,
+    3 },
+  { "a member replaced at another address",
+    THREE,
+    { { 2, 2, HERE }, { 3, 3, 2500 }, { 9, 9, HERE, true } },
+    LC_RAFT_ADD_LEARNER,
+    9 },
+  { "it may still come back",
+    THREE,
+    { { 2, 2, HERE }, { 3, 3, 1500 }, { 9, 9, HERE, true } },
+    0,
+    0 },
+  { "the one that stood by is gone, too",
+    THREE,
+    { { 2, 2, HERE }, { 3, 3, 2500 }, { 9, 9, 2000, true } },
+    0,
+    0 },
+  { "one voter too many, and one silent",
+    { { 1, 1 }, { 2, 2 }, { 3, 3 }, { 9, 9 } },
+    { { 2, 2, HERE }, { 3, 3, 2500 }, { 9, 9, HERE, false, true } },
+    LC_RAFT_REMOVE,
+    3 },
+  { "one voter too many, and all there",
+    { { 1, 1 }, { 2, 2 }, { 3, 3 }, { 9, 9 } },
+    { { 2, 2, HERE }, { 3, 3, HERE }, { 9, 9, HERE, false, true } },
+    0,
+    0 },
+  { "a voter too few, and one stands by",
+    { { 1, 1 }, { 2, 2 } },
+    { { 2, 2, HERE }, { 9, 9, HERE, true } },
+    LC_RAFT_ADD_LEARNER,
+    9 },
+  { "the leader's own address is never given away",
+    THREE,
+    { { 2, 2, HERE }, { 3, 3, HERE }, { 9, 1, HERE, true } },
+    0,
+    0 },
+};
+
+START_TEST (test_next)
+{
+  const Case *c = &CASES[_i];
+  LcHealDesc desc = { .self = SELF, .n_voters = N_VOTERS };
+  LcRaftConfig config = { 0 };
+  LcHealSeen seen[5] = { 0 };
+  uint32_t n_seen = 0;
+  LcHealChange change = { 0 };
+  bool is_change;
+
+  for (int i = 0; i < 5 && c->members[i].id != 0; i++)
+    {
+      LcRaftMember m = { .id = c->members[i].id,
+                         .ipv4 = c->members[i].at,
+                         .peer_port = 7000,
+                         .is_learner = c->members[i].is_learner };
+
+      (void)strcpy (m.name, "control");
+      ck_assert_int_eq (lc_raft_config_put (&config, &m), 0);
+    }
+  for (int i = 0; i < 5 && c->seen[i].id != 0; i++)
+    seen[n_seen++] = (LcHealSeen){
+      .id = c->seen[i].id,
+      .ipv4 = c->seen[i].at,
+      .port = 7000,
+      .is_blank = c->seen[i].is_blank,
+      .has_caught_up = c->seen[i].has_caught_up,
+      .silent_us = c->seen[i].silent_ms == NEVER ? INT64_MAX : c->seen[i].silent_ms * LC_US_PER_MS,
+    };
+  is_change = lc_heal_next (&desc, &config, seen, n_seen, &change);
+  ck_assert_msg (is_change == (c->change != 0), "%s: %d", c->what, change.kind);
+  if (is_change)
+    ck_assert_msg (change.kind == c->change && change.member.id == c->id, "%s: %d of %u", c->what,
+                   change.kind, (unsigned)change.member.id);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("heal");
+  TCase *tcase = tcase_create ("heal");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_loop_test (tcase, test_next, 0, (int)(sizeof CASES / sizeof CASES[0]));
+  suite_add_tcase (suite, tcase);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? 0 : 1;
+}
--- a/tests/control/test-raft.c
+++ b/tests/control/test-raft.c
@@ -382,6 +382,78 @@
 }
 END_TEST
 
+/* === after a start of all =================================================================== */
+
+static const struct
+{
+  const char *what;
+  LcReplicaId grants[2]; /* who says that it is fresh, too */
+  bool hears_leader;     /* before the last of them answers */
+  int64_t answers_us;    /* after the start */
+  bool stands;
+} FRESH[] = {
+  { "all are fresh", { PEER, THIRD }, false, 50000, true },
+  { "one does not answer", { PEER, 0 }, false, 50000, false },
+  { "one answers twice", { PEER, PEER }, false, 50000, false },
+  { "a leader was heard", { PEER, THIRD }, true, 50000, false },
+  { "the answers come when it is fresh no more", { PEER, THIRD }, false, 600000, false },
+};
+
+START_TEST (test_all_fresh)
+{
+  Replica r;
+
+  start (&r, 4, NULL, 0);
+  pass (&r, FRESH[_i].answers_us);
+  for (int i = 0; i < 2 && FRESH[_i].grants[i] != 0; i++)
+    {
+      LcRaftMessage grant = { .kind = LC_RAFT_VOTE_REPLY, .from = FRESH[_i].grants[i], .term = 5 };
+
+      if (i == 1 && FRESH[_i].hears_leader)
+        receive (&r, heartbeat (PEER, 4, 0, 0));
+      grant.vote_reply.is_pre = true;
+      grant.vote_reply.is_fresh = true;
+      grant.vote_reply.is_granted = true;
+      receive (&r, grant);
+    }
+  ck_assert_msg ((r.raft.role == LC_RAFT_CANDIDATE) == FRESH[_i].stands, "%s", FRESH[_i].what);
+  lc_raft_finish (&r.raft);
+}
+END_TEST
+
+static const struct
+{
+  const char *what;
+  int64_t after_us; /* of its start */
+  bool has_heard;   /* a leader */
+  bool is_fresh;    /* the request */
+  bool is_granted;
+} FRESH_VOTES[] = {
+  { "fresh voter, all fresh", 50000, false, true, true },
+  { "fresh voter, usual vote", 50000, false, false, false },
+  { "a voter that heard a leader since", 50000, true, true, false },
+};
+
+START_TEST (test_fresh_votes)
+{
+  LcRaftMessage m = vote_request (PEER, 5);
+  LcRaftMessage reply;
+  Replica r;
+
+  start (&r, 4, NULL, 0);
+  pass (&r, FRESH_VOTES[_i].after_us);
+  if (FRESH_VOTES[_i].has_heard)
+    receive (&r, heartbeat (THIRD, 4, 0, 0));
+  m.vote.is_fresh = FRESH_VOTES[_i].is_fresh;
+  receive (&r, m);
+  store (&r);
+  ck_assert_msg ((sent (&r, LC_RAFT_VOTE_REPLY, PEER, &reply) && reply.vote_reply.is_granted) ==
+                     FRESH_VOTES[_i].is_granted,
+                 "%s", FRESH_VOTES[_i].what);
+  lc_raft_finish (&r.raft);
+}
+END_TEST
+
 START_TEST (test_leader_without_quorum_steps_down)
 {
   Replica r;
@@ -459,6 +531,8 @@
   tcase_add_test (tcase, test_lease_is_given_up_when_the_clock_goes_back);
   tcase_add_test (tcase, test_lease_is_given_up_at_hand_over);
   tcase_add_loop_test (tcase, test_promises, 0, (int)G_N_ELEMENTS (PROMISES));
+  tcase_add_loop_test (tcase, test_all_fresh, 0, (int)G_N_ELEMENTS (FRESH));
+  tcase_add_loop_test (tcase, test_fresh_votes, 0, (int)G_N_ELEMENTS (FRESH_VOTES));
   tcase_add_test (tcase, test_leader_without_quorum_steps_down);
   tcase_add_test (tcase, test_suspended_replica_neither_leads_nor_votes);
   tcase_add_test (tcase, test_contradiction_of_a_commit_is_refused);
