Flows stay in the data centre; endpoints are compared by the requests at work

Change: where owners are found without a settled list, a flow's homes are the first choices in the data centre that its packets come in at, and its owner registers with those; the head of a packet shows when a request begins and when its answer does, so agents count requests at work and leave the data centre when half of an endpoint's slots are taken; loads are told every 100 to 200 ms; an agent that has fallen silent for 700 ms is passed over; a cold start begins with 600 of 1000 instead of 100.

Ruled out: in-zone preference by open flows alone (one open flow more than none already spilled over).

--- a/proto/lc-flow.pb-c.c
+++ b/proto/lc-flow.pb-c.c
@@ -291,7 +291,7 @@
   (ProtobufCMessageInit) lc__wire__flow_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__flow_message__field_descriptors[15] =
+static const ProtobufCFieldDescriptor lc__wire__flow_message__field_descriptors[16] =
 {
   {
     "kind",
@@ -473,8 +473,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "at_work",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__FlowMessage, at_work),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__flow_message__field_indices_by_name[] = {
+  15,   /* field[15] = at_work */
   8,   /* field[8] = byte_rate */
   2,   /* field[2] = endpoint_id */
   13,   /* field[13] = entries */
@@ -494,7 +507,7 @@
 static const ProtobufCIntRange lc__wire__flow_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor lc__wire__flow_message__descriptor =
 {
@@ -504,7 +517,7 @@
   "Lc__Wire__FlowMessage",
   "lc.wire",
   sizeof(Lc__Wire__FlowMessage),
-  15,
+  16,
   lc__wire__flow_message__field_descriptors,
   lc__wire__flow_message__field_indices_by_name,
   1,  lc__wire__flow_message__number_ranges,
--- a/proto/lc-flow.pb-c.h
+++ b/proto/lc-flow.pb-c.h
@@ -65,10 +65,11 @@
   size_t n_entries;
   Lc__Wire__FlowEntry **entries;
   protobuf_c_boolean is_warm;
+  uint32_t at_work;
 };
 #define LC__WIRE__FLOW_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__flow_message__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /* Lc__Wire__FlowEntry methods */
--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -12,6 +12,14 @@
   LC_AGENT_FLOW_TICK_MS = LC_FLOW_AGENT_TICK_US / LC_US_PER_MS,
   LC_AGENT_FLOW_CUT_OFF_MS = 2000, /* below the shortest lease: see lc-steer */
   LC_AGENT_FLOW_LOG_PER_S = 2,
+
+  /* Where requests at work are seen: */
+  LC_AGENT_FLOW_LOAD_MS = 200,       /* loads are told at least so often */
+  LC_AGENT_FLOW_TELL_MS = 100,       /* and at most so often: two rounds of a short request */
+  LC_AGENT_FLOW_STALE_MS = 700,      /* three loads missed */
+  LC_AGENT_FLOW_WORK_WEIGHT = 30,    /* an open flow is at work for about a thirtieth of its time */
+  LC_AGENT_FLOW_RAMP_PERMILLE = 600, /* a cold backend server takes about 1.6 times as long */
+  LC_AGENT_FLOW_NEAR_PERMILLE = 500, /* half of the slots: the next request waits for none */
 };
 
 /* === private: callers ======================================================================= */
@@ -427,6 +435,19 @@
       lc_metrics_gauge (metrics, "lychee_flow_open", "Open flows of the backend server", NULL);
 }
 
+/* Where packets show when a request begins and when its answer does, endpoints are compared by the
+ * requests at work, and the data centre is left only when its endpoints have no free slot. */
+static void
+lc_agent_flow__weigh_work (LcFlowAgentDesc *desc)
+{
+  desc->load_interval_us = LC_AGENT_FLOW_LOAD_MS * LC_US_PER_MS;
+  desc->tell_min_us = LC_AGENT_FLOW_TELL_MS * LC_US_PER_MS;
+  desc->assign.work_weight = LC_AGENT_FLOW_WORK_WEIGHT;
+  desc->assign.ramp_first_permille = LC_AGENT_FLOW_RAMP_PERMILLE;
+  desc->assign.near_permille = LC_AGENT_FLOW_NEAR_PERMILLE;
+  desc->assign.stale_us = LC_AGENT_FLOW_STALE_MS * LC_US_PER_MS;
+}
+
 /* The endpoint's id and service are known once control has committed its announcement. */
 static void
 lc_agent_flow__start_agent (LcAgentFlow *plane, int64_t now_us)
@@ -449,6 +470,8 @@
   desc.backend_ipv4 = settings->backend_feed.ipv4;
   desc.backend_port = settings->backend_feed.port;
   desc.assign.ramp_us = (int64_t)settings->ramp_ms * LC_US_PER_MS;
+  if (desc.is_returning)
+    lc_agent_flow__weigh_work (&desc);
   lc_flow_agent_init (&plane->agent, &desc, now_us);
   plane->has_agent = true;
   lc_flow_agent_set_dc (&plane->agent, e->dc);
--- a/src/core/flow/lc-assign.c
+++ b/src/core/flow/lc-assign.c
@@ -53,6 +53,7 @@
     peer = *known;
   peer.agent = (LcCandidate){ e->id, e->ipv4, e->instance, e->flow_port };
   peer.dc = e->dc;
+  peer.slots = e->slots;
   peer.weight_percent = e->weight_percent;
   peer.connection_limit = e->connection_limit;
   peer.is_candidate = lc_endpoint_is_candidate (e);
@@ -72,7 +73,9 @@
 static uint64_t
 lc_assign__flow_load (const LcAssign *a, const LcAssignPeer *p, int64_t now_us)
 {
-  return ((uint64_t)p->open_flows + 1) * 1000000U / lc_assign_capacity (a, p, now_us);
+  uint64_t flows = (uint64_t)p->open_flows + 1 + (uint64_t)p->at_work * a->desc.work_weight;
+
+  return flows * 1000000U / lc_assign_capacity (a, p, now_us);
 }
 
 static uint64_t
@@ -106,10 +109,18 @@
   uint32_t n_bad;
 } LcAssignEligible;
 
+/* It told its load before and is silent now: the agent, or the way to it, is gone. */
+static bool
+lc_assign__is_stale (const LcAssign *a, const LcAssignPeer *p, int64_t now_us)
+{
+  return a->desc.stale_us != 0 && p->agent.id != a->self_id && p->reported_us != 0 &&
+         now_us - p->reported_us > a->desc.stale_us;
+}
+
 static bool
 lc_assign__may_take (LcAssign *a, const LcAssignPeer *p, int64_t now_us)
 {
-  if (!p->is_candidate)
+  if (!p->is_candidate || lc_assign__is_stale (a, p, now_us))
     return false;
   if (!p->is_accepting || now_us < p->refusing_until_us ||
       (p->connection_limit != 0 && p->open_flows >= p->connection_limit))
@@ -199,6 +210,13 @@
   return best;
 }
 
+/* So few requests at work that one more finds a free slot at once. */
+static bool
+lc_assign__has_room (const LcAssign *a, const LcAssignPeer *p)
+{
+  return (uint64_t)p->at_work * 1000U < (uint64_t)p->slots * a->desc.near_permille;
+}
+
 static int
 lc_assign__least (const LcAssign *a, const LcAssignEligible *e, LcDcId dc, int64_t now_us)
 {
@@ -216,7 +234,8 @@
     return best;
   best_load = lc_assign__load (a, &a->peers[best], now_us);
   if (near >= 0 &&
-      lc_assign__load (a, &a->peers[near], now_us) * 1000U <= best_load * (1000U + spill))
+      (lc_assign__load (a, &a->peers[near], now_us) * 1000U <= best_load * (1000U + spill) ||
+       lc_assign__has_room (a, &a->peers[near])))
     best = near;
   if (a->peers[e->items[0]].agent.id != a->self_id)
     return best;
@@ -323,6 +342,7 @@
   if (p == NULL || p->agent.instance != load->agent.instance)
     return;
   p->open_flows = load->open_flows;
+  p->at_work = load->at_work;
   p->byte_rate = load->byte_rate;
   p->is_accepting = load->is_accepting;
   p->looks_bad = load->looks_bad;
@@ -346,11 +366,12 @@
   int64_t age_us = now_us - p->joined_us;
   uint32_t capacity = p->weight_percent * 10U;
   int64_t permille;
+  int64_t first;
 
   if (p->joined_us == 0 || p->is_warm || age_us >= ramp_us)
     return capacity != 0 ? capacity : 1;
-  permille = LC_ASSIGN_RAMP_FIRST_PERMILLE +
-             (1000 - LC_ASSIGN_RAMP_FIRST_PERMILLE) * (age_us > 0 ? age_us : 0) / ramp_us;
+  first = lc_assign__or (a->desc.ramp_first_permille, LC_ASSIGN_RAMP_FIRST_PERMILLE);
+  permille = first + (1000 - first) * (age_us > 0 ? age_us : 0) / ramp_us;
   capacity = (uint32_t)(capacity * permille / 1000);
   return capacity != 0 ? capacity : 1;
 }
@@ -385,4 +406,5 @@
 lc_assign_note (LcAssign *a, int index)
 {
   a->peers[index].open_flows++;
+  a->peers[index].at_work++; /* a caller opens a flow to ask something */
 }
--- a/src/core/flow/lc-assign.h
+++ b/src/core/flow/lc-assign.h
@@ -49,13 +49,18 @@
   typedef struct
   {
     LcAssignPolicy policy;
-    uint32_t tolerance_permille; /* of the lowest load; 0: 20 */
-    uint32_t tolerance_flows;    /* 0: 1 */
-    uint32_t spillover_permille; /* own data centre may be this much above the best; 0: 100 */
-    uint32_t static_threshold;   /* SRLB static: flows; 0: 50 */
-    int64_t ramp_us;             /* 0: 10 s */
-    uint32_t sample;             /* of larger services this many are weighed; 0: 16 */
-    uint32_t byte_permille;      /* weight of a byte rate above the usual; 0: none */
+    uint32_t tolerance_permille;  /* of the lowest load; 0: 20 */
+    uint32_t tolerance_flows;     /* 0: 1 */
+    uint32_t spillover_permille;  /* own data centre may be this much above the best; 0: 100 */
+    uint32_t static_threshold;    /* SRLB static: flows; 0: 50 */
+    int64_t ramp_us;              /* 0: 10 s */
+    uint32_t ramp_first_permille; /* of its capacity that a cold start begins with; 0: 100 */
+    uint32_t sample;              /* of larger services this many are weighed; 0: 16 */
+    uint32_t byte_permille;       /* weight of a byte rate above the usual; 0: none */
+    uint32_t work_weight;         /* open flows that a request at work counts for; 0: not counted */
+    uint32_t near_permille; /* own data centre while this share of an endpoint's slots is not at
+                               work; 0: by spillover alone */
+    int64_t stale_us;       /* an endpoint not heard for this long is passed over; 0: never */
   } LcAssignDesc;
 
   /* What an agent tells the others of its service. */
@@ -64,6 +69,7 @@
     LcCandidate agent;
     LcRevision revision;
     uint32_t open_flows;
+    uint32_t at_work;   /* requests that have no answer yet */
     uint32_t byte_rate; /* of its flows, bytes a second; 0: not counted */
     bool is_accepting;  /* false: leaving, or at its limit */
     bool looks_bad;     /* its backend server's health endpoint says so */
@@ -77,6 +83,8 @@
     uint16_t weight_percent;
     uint32_t connection_limit;
     uint32_t open_flows; /* last report, and what was assigned since */
+    uint32_t at_work;    /* the same */
+    uint8_t slots;
     uint32_t byte_rate;
     int64_t reported_us;
     int64_t refusing_until_us;
--- a/src/core/flow/lc-candidates.c
+++ b/src/core/flow/lc-candidates.c
@@ -77,6 +77,7 @@
   member->candidate = (LcCandidate){ e->id, e->ipv4, e->instance, e->flow_port };
   member->seed = XXH3_64bits (&e->id, sizeof e->id);
   member->weight_percent = e->weight_percent;
+  member->dc = e->dc;
   if (set->n > 0 && sets->members[set->first].weight_percent != e->weight_percent)
     set->is_weighted = true;
   set->n++;
@@ -200,6 +201,53 @@
   return lc_candidates__top (members, set->n, key_hash, false, homes);
 }
 
+/* The best of the newest set that is not `other`; in `dc` if `is_inside`, else anywhere. */
+static const LcSetMember *
+lc_candidates__best (const LcCandidateSets *sets,
+                     uint64_t key_hash,
+                     LcDcId dc,
+                     bool is_inside,
+                     const LcSetMember *other)
+{
+  const LcCandidateSet *set = &sets->sets[0];
+  const LcSetMember *best = NULL;
+  uint64_t best_score = 0;
+
+  for (uint32_t i = 0; i < set->n; i++)
+    {
+      const LcSetMember *m = &sets->members[set->first + i];
+      uint64_t score = lc_candidates__score (m, key_hash, set->is_weighted) | 1U;
+
+      if (m == other || (is_inside && m->dc != dc) || score <= best_score)
+        continue;
+      best = m;
+      best_score = score;
+    }
+  return best;
+}
+
+uint32_t
+lc_candidates_near_homes (const LcCandidateSets *sets,
+                          uint64_t key_hash,
+                          LcDcId dc,
+                          const LcSetMember *homes[LC_HOMES])
+{
+  uint32_t n = 0;
+
+  while (sets->n_sets > 0 && n < LC_HOMES)
+    {
+      const LcSetMember *before = n > 0 ? homes[n - 1] : NULL;
+      const LcSetMember *best = lc_candidates__best (sets, key_hash, dc, true, before);
+
+      if (best == NULL)
+        best = lc_candidates__best (sets, key_hash, dc, false, before);
+      if (best == NULL)
+        break;
+      homes[n++] = best;
+    }
+  return n;
+}
+
 static uint8_t
 lc_candidates__index (const LcCandidateList *list, const LcCandidate *candidate)
 {
--- a/src/core/flow/lc-candidates.h
+++ b/src/core/flow/lc-candidates.h
@@ -56,6 +56,7 @@
     LcCandidate candidate;
     uint64_t seed; /* of the endpoint's id */
     uint16_t weight_percent;
+    LcDcId dc;
   } LcSetMember;
 
   typedef struct
@@ -97,6 +98,14 @@
                                 uint64_t key_hash,
                                 const LcSetMember *homes[LC_HOMES]);
 
+  /* Homes of the newest set for a flow whose packets come in at one data centre: the first choices
+   * there, then those elsewhere.  Where the owner is found without a settled list (lc-flow-return),
+   * they keep packets, pointers and flows inside the data centre. */
+  uint32_t lc_candidates_near_homes (const LcCandidateSets *sets,
+                                     uint64_t key_hash,
+                                     LcDcId dc,
+                                     const LcSetMember *homes[LC_HOMES]);
+
   static inline bool
   lc_candidate_equal (const LcCandidate *a, const LcCandidate *b)
   {
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -72,6 +72,7 @@
   if (self == NULL)
     return;
   self->open_flows = lc_flow_agent_open_flows (a);
+  self->at_work = a->n_at_work;
   self->byte_rate = a->byte_rate;
   self->is_accepting = lc_flow_agent__is_accepting (a);
   self->looks_bad = a->looks_bad;
@@ -162,6 +163,7 @@
   f->epoch = 0;
   f->offered_id = 0;
   f->relay_port = 0;
+  f->dc = a->arrival_dc;
   /* The first look comes no later than the flow may have ended. */
   lc_flow_table_set_deadline (
       &a->table, f, now_us + MIN (a->desc.refresh_us, lc_flow_agent__idle_us (a, &packet->key)));
@@ -428,7 +430,7 @@
 static bool
 lc_flow_agent__has_changed (const LcFlowAgent *a)
 {
-  uint32_t open = lc_flow_agent_open_flows (a);
+  uint32_t open = lc_flow_agent_open_flows (a) + a->n_at_work * a->desc.assign.work_weight;
   uint32_t moved = open > a->told_flows ? open - a->told_flows : a->told_flows - open;
 
   return (uint64_t)moved * 1000 > (uint64_t)a->told_flows * LC_FLOW_TELL_PERMILLE;
@@ -441,9 +443,11 @@
   uint32_t n = a->assign.n_peers;
   uint32_t told = 0;
 
-  if (n == 0 || (now_us < a->next_load_us && !lc_flow_agent__has_changed (a)))
+  if (n == 0 || (now_us < a->next_load_us &&
+                 (now_us - a->told_us < a->desc.tell_min_us || !lc_flow_agent__has_changed (a))))
     return;
-  a->told_flows = lc_flow_agent_open_flows (a);
+  a->told_flows = lc_flow_agent_open_flows (a) + a->n_at_work * a->desc.assign.work_weight;
+  a->told_us = now_us;
   a->next_load_us = now_us + a->desc.load_interval_us;
   for (uint32_t k = 0; k < n && told < a->desc.load_fanout; k++)
     {
@@ -600,6 +604,7 @@
   out->load.agent = a->desc.self;
   out->load.revision = a->view != NULL ? a->view->revision : 0;
   out->load.open_flows = lc_flow_agent_open_flows (a);
+  out->load.at_work = a->n_at_work;
   out->load.byte_rate = a->byte_rate;
   out->load.is_accepting =
       lc_flow_agent__is_accepting (a) && out->load.open_flows < a->desc.connection_limit;
--- a/src/core/flow/lc-flow-agent.h
+++ b/src/core/flow/lc-flow-agent.h
@@ -60,6 +60,7 @@
     int64_t tcp_idle_us;         /* 0: 2 h */
     int64_t refresh_us;          /* 0: 60 s; pointers live three and a half times this long */
     int64_t load_interval_us;    /* 0: 500 ms */
+    int64_t tell_min_us;         /* a changed load is told no sooner after the last; 0: a tick */
     uint32_t load_fanout;        /* peers told each interval; 0: 16 */
     uint32_t registrations_tick; /* owned flows sent again a tick after a change; 0: 64 */
     uint32_t backend_ipv4;       /* named in hand-overs */
@@ -136,8 +137,10 @@
     uint32_t sets_version;
     uint32_t n_behind;
     uint32_t n_adopted; /* owned, of another's backend server */
+    uint32_t n_at_work; /* owned, with a request that has no answer yet */
     uint32_t n_ended;   /* owned and not adopted, waiting for stragglers after the last packet */
     LcDcId dc;          /* of this agent */
+    LcDcId arrival_dc;  /* where the packet at hand came in; 0: not known */
     bool is_leaving;
     bool is_cut_off;
     bool is_without_backend; /* its backend server has not reported itself, or is silent */
@@ -149,6 +152,7 @@
     int64_t busy_us; /* a flow was owned, or given to another agent, at this time */
     uint32_t load_turn;
     uint32_t told_flows; /* open flows when the peers were told last */
+    int64_t told_us;
     uint32_t registration_budget;
     uint64_t bytes_window;
     int64_t bytes_since_us;
--- a/src/core/flow/lc-flow-balancer.c
+++ b/src/core/flow/lc-flow-balancer.c
@@ -101,12 +101,22 @@
 }
 
 static bool
-lc_envelope__fill (LcEnvelope *e, const LcCandidateSets *sets, uint64_t key_hash, bool is_newest)
+lc_envelope__fill_near (LcEnvelope *e, const LcCandidateSets *sets, uint64_t key_hash, LcDcId dc)
 {
-  bool is_filled = sets->n_sets == 1 || (is_newest && sets->n_sets > 0)
-                       ? lc_envelope__fill_settled (e, sets, key_hash)
-                       : lc_envelope__fill_unsettled (e, sets, key_hash);
+  const LcSetMember *homes[LC_HOMES];
+  uint32_t n = lc_candidates_near_homes (sets, key_hash, dc, homes);
 
+  for (uint32_t i = 0; i < n; i++)
+    e->candidates[i] = homes[i]->candidate;
+  e->n = (uint8_t)n;
+  e->assigner = 0;
+  e->set_rank = UINT64_MAX;
+  return n > 0;
+}
+
+static bool
+lc_envelope__start (LcEnvelope *e, const LcCandidateSets *sets, bool is_filled)
+{
   if (!is_filled)
     return false;
   e->mode = LC_MODE_WALK;
@@ -120,7 +130,10 @@
 bool
 lc_envelope_fill (LcEnvelope *e, const LcCandidateSets *sets, uint64_t key_hash)
 {
-  return lc_envelope__fill (e, sets, key_hash, false);
+  bool is_filled = sets->n_sets == 1 ? lc_envelope__fill_settled (e, sets, key_hash)
+                                     : lc_envelope__fill_unsettled (e, sets, key_hash);
+
+  return lc_envelope__start (e, sets, is_filled);
 }
 
 void
@@ -182,11 +195,11 @@
                         uint64_t key_hash,
                         LcEnvelope *e)
 {
-  bool is_newest = b->is_returning && sets->n_sets > 0 && sets->sets[0].n > 0;
-
-  if (lc_envelope__fill (e, sets, key_hash, is_newest))
+  if (!b->is_returning)
+    return lc_envelope_fill (e, sets, key_hash);
+  if (lc_envelope__start (e, sets, lc_envelope__fill_near (e, sets, key_hash, b->dc)))
     return true;
-  return b->is_returning && lc_flow_balancer__any_endpoint (b, sets->service_id, key_hash, e);
+  return lc_flow_balancer__any_endpoint (b, sets->service_id, key_hash, e);
 }
 
 int
--- a/src/core/flow/lc-flow-pointers.c
+++ b/src/core/flow/lc-flow-pointers.c
@@ -44,9 +44,23 @@
 }
 
 static void
-lc_flow_pointers__pick (const LcCandidateSets *sets, const LcFlow *f, LcCandidateList *list)
+lc_flow_pointers__pick (const LcFlowAgent *a,
+                        const LcCandidateSets *sets,
+                        const LcFlow *f,
+                        LcCandidateList *list)
 {
-  lc_candidates_pick (sets, lc_flow_key_hash (&f->key), list);
+  const LcSetMember *homes[LC_HOMES];
+
+  if (!a->desc.is_returning)
+    {
+      lc_candidates_pick (sets, lc_flow_key_hash (&f->key), list);
+      return;
+    }
+  list->n = (uint8_t)lc_candidates_near_homes (sets, lc_flow_key_hash (&f->key), f->dc, homes);
+  list->assigner = 0;
+  list->set_rank = UINT64_MAX;
+  for (uint8_t i = 0; i < list->n; i++)
+    list->items[i] = homes[i]->candidate;
 }
 
 /* The bits of the current set's homes: the list begins with them. */
@@ -96,9 +110,9 @@
   LcCandidateList before = { 0 };
   uint16_t acked = 0;
 
-  lc_flow_pointers__pick (&a->sets, f, &list);
+  lc_flow_pointers__pick (a, &a->sets, f, &list);
   if (f->sets_version + 1 == a->sets_version)
-    lc_flow_pointers__pick (&a->previous_sets, f, &before);
+    lc_flow_pointers__pick (a, &a->previous_sets, f, &before);
   for (uint8_t i = 0; i < before.n; i++)
     if ((f->acked & (1U << i)) != 0)
       acked |= lc_flow_pointers__bit_of (&list, &before.items[i]);
@@ -113,7 +127,7 @@
 {
   LcCandidateList list;
 
-  lc_flow_pointers__pick (&a->sets, f, &list);
+  lc_flow_pointers__pick (a, &a->sets, f, &list);
   for (uint8_t i = 0; i < list.n; i++)
     {
       LcFlowEntry *entry;
@@ -149,7 +163,7 @@
   f->sets_version = a->sets_version;
   f->sent_ms = 0;
   lc_flow_table_dequeue (&a->table, f);
-  lc_flow_pointers__pick (&a->sets, f, &list);
+  lc_flow_pointers__pick (a, &a->sets, f, &list);
   lc_flow_pointers__settle (a, f, &list);
   if ((f->flags & LC_FLOW_QUEUED) != 0)
     lc_flow_pointers__send (a, f);
@@ -168,7 +182,7 @@
 {
   LcCandidateList list;
 
-  lc_flow_pointers__pick (&a->sets, f, &list);
+  lc_flow_pointers__pick (a, &a->sets, f, &list);
   for (uint8_t i = 0; i < list.n; i++)
     if (!lc_candidate_equal (&list.items[i], &a->desc.self))
       {
@@ -186,7 +200,8 @@
   lc_flow_pointers__set_behind (a, f, false);
   a->n_adopted -= (f->flags & LC_FLOW_ADOPTED) != 0;
   a->n_ended -= (f->flags & (LC_FLOW_ENDED | LC_FLOW_ADOPTED)) == LC_FLOW_ENDED;
-  f->flags &= (uint8_t) ~(LC_FLOW_ADOPTED | LC_FLOW_ENDED);
+  a->n_at_work -= (f->flags & LC_FLOW_AT_WORK) != 0;
+  f->flags &= (uint8_t) ~(LC_FLOW_ADOPTED | LC_FLOW_ENDED | LC_FLOW_AT_WORK);
   lc_flow_table_dequeue (&a->table, f);
   lc_flow_table_set_kind (&a->table, f, LC_FLOW_PENDING);
 }
@@ -236,7 +251,7 @@
           lc_flow_pointers__give_up (a, f);
           continue;
         }
-      lc_flow_pointers__pick (&a->sets, f, &list);
+      lc_flow_pointers__pick (a, &a->sets, f, &list);
       f->acked |= lc_flow_pointers__bit_of (&list, &m->load.agent);
       lc_flow_pointers__settle (a, f, &list);
     }
--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -125,6 +125,23 @@
   return lc_flow_return__marked (lc_flow_agent__take (a, f, packet, now_us), e, packet);
 }
 
+/* === private: requests at work ============================================================== */
+
+static void
+lc_flow_return__set_at_work (LcFlowAgent *a, LcFlow *f, bool is_at_work)
+{
+  if (((f->flags & LC_FLOW_AT_WORK) != 0) == is_at_work)
+    return;
+  f->flags ^= LC_FLOW_AT_WORK;
+  a->n_at_work += is_at_work ? 1 : -1;
+}
+
+static bool
+lc_flow_return__has_data (const LcPacket *packet)
+{
+  return packet->total_len > packet->payload_start;
+}
+
 /* === private: owned flows =================================================================== */
 
 /* A packet that did not come by the first home: that home has forgotten the owner. */
@@ -133,6 +150,11 @@
 {
   bool is_detour = e->mode == LC_MODE_SEARCH || (e->mode == LC_MODE_WALK && e->hop > 0);
 
+  if (e->dc != 0 && e->dc != f->dc)
+    {
+      f->dc = e->dc;
+      is_detour = true;
+    }
   if (is_detour && (f->flags & LC_FLOW_QUEUED) == 0)
     lc_flow_pointers_start (a, f);
 }
@@ -184,9 +206,12 @@
 
   if (e->service_id != a->desc.service_id)
     return lc_flow_agent__drop (a, LC_DROP_WRONG_INSTANCE);
+  a->arrival_dc = e->dc;
   if (lc_flow_return__is_owned (a, f, packet))
     {
       lc_flow_return__remind_homes (a, f, e);
+      if (lc_flow_return__has_data (packet))
+        lc_flow_return__set_at_work (a, f, true);
       return lc_flow_return__marked (lc_flow_agent__deliver (a, f, packet, false, now_us), e,
                                      packet);
     }
@@ -241,6 +266,7 @@
   e->mode = LC_MODE_REFUSED;
   e->hops_left = (uint8_t)(packet->mark - LC_FLOW_RETURN_HOPS);
   e->dc = a->dc;
+  a->arrival_dc = a->dc;
   e->stray_id = a->desc.self.id;
   e->stray_instance = a->desc.self.instance;
   return lc_flow_return__assign (a, e, NULL, packet, now_us);
@@ -258,10 +284,13 @@
   of_caller.key.target_port = packet->key.source_port;
   of_caller.may_open = false;
   f = lc_flow_table_find (&a->table, &of_caller.key, lc_flow_key_hash (&of_caller.key));
+  a->arrival_dc = 0;
   if (f != NULL && f->kind == LC_FLOW_OWNED)
     (void)lc_flow_agent__deliver (a, f, &of_caller, false, now_us);
   else if (!packet->is_reset) /* a reset answers what the backend server does not hold any more */
     (void)lc_flow_agent__take (a, f, &of_caller, now_us);
+  if (f != NULL && f->kind == LC_FLOW_OWNED && lc_flow_return__has_data (packet))
+    lc_flow_return__set_at_work (a, f, false);
 }
 
 void
--- a/src/core/flow/lc-flow-table.h
+++ b/src/core/flow/lc-flow-table.h
@@ -58,6 +58,7 @@
     LC_FLOW_QUEUED = 4,    /* OWNED: in the queue of registrations */
     LC_FLOW_BEHIND = 8,    /* OWNED: not yet registered with the newest homes */
     LC_FLOW_ENDED = 16,    /* OWNED: the last packet passed */
+    LC_FLOW_AT_WORK = 32,  /* OWNED: the caller sent data, and no answer has begun */
   };
 
   typedef struct
@@ -85,6 +86,7 @@
     uint32_t epoch;          /* OWNED, POINTER: hand-overs so far; the higher claim wins */
     LcEndpointId offered_id; /* OWNED: a hand-over was offered to this agent; 0: none */
     LcInstance offered_instance;
+    LcDcId dc;     /* OWNED: where the flow's packets come in; 0: not known */
     uint32_t user; /* the plane's own mark, for example a socket's index */
   } LcFlow;
 
--- a/src/io/lc-flow-wire.c
+++ b/src/io/lc-flow-wire.c
@@ -62,6 +62,7 @@
   w.port = m->load.agent.port;
   w.revision = m->load.revision;
   w.open_flows = m->load.open_flows;
+  w.at_work = m->load.at_work;
   w.byte_rate = m->load.byte_rate;
   w.is_accepting = m->load.is_accepting;
   w.looks_bad = m->load.looks_bad;
@@ -91,6 +92,7 @@
   m->load.agent = (LcCandidate){ w->endpoint_id, w->ipv4, w->instance, (uint16_t)w->port };
   m->load.revision = w->revision;
   m->load.open_flows = w->open_flows;
+  m->load.at_work = w->at_work;
   m->load.byte_rate = w->byte_rate;
   m->load.is_accepting = w->is_accepting;
   m->load.looks_bad = w->looks_bad;
