Flows: agents that do not answer probes are no homes; copies of first packets go to another endpoint

A copy of a first packet whose flow was not registered, or whose backend server has said nothing, is assigned anew.

Ruled out: a shorter lease (every node would renew more often, and the log see each short freeze).

--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -270,7 +270,12 @@
   int64_t now_us = lc_clock_now_us ();
   LcFlowMessage message;
 
-  (void)port;
+  if (lc_envelope_kind (bytes, len) == LC_ENVELOPE_PROBE)
+    {
+      lc_envelope_encode_prefix (bytes, LC_ENVELOPE_PROBE_ANSWER);
+      (void)lc_datagram_send (&plane->port, ipv4, port, bytes, LC_ENVELOPE_PREFIX_BYTES, NULL, 0);
+      return;
+    }
   if (!plane->has_agent)
     return;
   switch (lc_envelope_kind (bytes, len))
--- a/src/balancer/lc-balancer-flow.c
+++ b/src/balancer/lc-balancer-flow.c
@@ -7,7 +7,8 @@
 
 enum
 {
-  LC_BALANCER_FLOW_TICK_MS = 200,
+  LC_BALANCER_FLOW_TICK_MS = 50,    /* of probes */
+  LC_BALANCER_FLOW_PROBES_MAX = 64, /* sent at one tick; the others come at the next */
   LC_BALANCER_FLOW_LOG_PER_S = 2,
 };
 
@@ -53,7 +54,11 @@
   LcPacket packet;
   int r;
 
-  (void)port;
+  if (lc_envelope_kind (bytes, len) == LC_ENVELOPE_PROBE_ANSWER)
+    {
+      lc_reach_answered (&plane->reach, ipv4, port, lc_clock_now_us ());
+      return;
+    }
   if (lc_packet_format_parse (lc_balancer_flow__format (plane), &packet, bytes, len) < 0 ||
       packet.is_returned)
     {
@@ -69,6 +74,8 @@
       return;
     }
   plane->steered_total++;
+  if (plane->balancer.is_returning)
+    lc_reach_used (&plane->reach, &to, lc_clock_now_us ());
   (void)lc_datagram_send (&plane->port, to.ipv4, to.port, header,
                           lc_envelope_encode (&envelope, header, sizeof header), bytes,
                           packet.total_len);
@@ -82,11 +89,29 @@
   plane->last_packet_us = lc_clock_now_us ();
 }
 
+/* Agents that are in use are asked whether they are there. */
+static void
+lc_balancer_flow__probe (LcBalancerFlow *plane, int64_t now_us)
+{
+  LcReachAddress due[LC_BALANCER_FLOW_PROBES_MAX];
+  uint32_t n = lc_reach_due (&plane->reach, now_us, due, LC_BALANCER_FLOW_PROBES_MAX);
+  uint8_t bytes[LC_ENVELOPE_PREFIX_BYTES];
+
+  lc_envelope_encode_prefix (bytes, LC_ENVELOPE_PROBE);
+  for (uint32_t i = 0; i < n; i++)
+    (void)lc_datagram_send (&plane->port, due[i].ipv4, due[i].port, bytes, sizeof bytes, NULL, 0);
+  lc_datagram_flush (&plane->port);
+  lc_flow_balancer_mark_suspects (&plane->balancer, &plane->reach, now_us);
+}
+
 static void
 lc_balancer_flow__on_tick (void *user)
 {
   LcBalancerFlow *plane = user;
 
+  if (plane->balancer.is_returning)
+    lc_balancer_flow__probe (plane, lc_clock_now_us ());
+
   lc_timer_start (&plane->timer, LC_BALANCER_FLOW_TICK_MS);
   lc_flow_meter_bring (&plane->meter);
   lc_flow_balancer_set_cut_off (&plane->balancer,
@@ -112,6 +137,9 @@
   lc_flow_meter_add (&plane->meter, metrics, "lychee_flow_reset_total",
                      "First packets that led nowhere and were answered so", NULL,
                      &plane->reset_total);
+  lc_flow_meter_add (&plane->meter, metrics, "lychee_flow_suspected_total",
+                     "Times that an agent left a probe unanswered", NULL,
+                     &plane->reach.suspected_total);
   lc_flow_meter_add_drops (&plane->meter, metrics, plane->dropped_total);
 }
 
@@ -139,6 +167,7 @@
   memset (plane, 0, sizeof *plane);
   plane->desc = *desc;
   lc_flow_balancer_init (&plane->balancer, 0);
+  lc_reach_init (&plane->reach);
   lc_flow_balancer_set_returning (&plane->balancer,
                                   lc_packet_format_is_returning (lc_balancer_flow__format (plane)));
   r = lc_datagram_init (&plane->port, &port, error);
@@ -156,6 +185,7 @@
   lc_timer_finish (&plane->timer);
   lc_datagram_finish (&plane->port);
   lc_flow_balancer_finish (&plane->balancer);
+  lc_reach_finish (&plane->reach);
 }
 
 void
--- a/src/balancer/lc-balancer-flow.h
+++ b/src/balancer/lc-balancer-flow.h
@@ -37,6 +37,7 @@
   LcBalancerFlowDesc desc;
   LcFlowBalancer balancer;
   LcDatagram port;
+  LcReach reach;
   LcTimer timer;
   LcFlowMeter meter;
   int64_t last_packet_us;
--- a/src/core/flow/lc-candidates.c
+++ b/src/core/flow/lc-candidates.c
@@ -201,12 +201,14 @@
   return lc_candidates__top (members, set->n, key_hash, false, homes);
 }
 
-/* The best of the newest set that is not `other`; in `dc` if `is_inside`, else anywhere. */
+/* The best of the newest set that is not `other`; in `dc` if `is_inside`, else anywhere; suspect
+ * ones only if `is_any`. */
 static const LcSetMember *
 lc_candidates__best (const LcCandidateSets *sets,
                      uint64_t key_hash,
                      LcDcId dc,
                      bool is_inside,
+                     bool is_any,
                      const LcSetMember *other)
 {
   const LcCandidateSet *set = &sets->sets[0];
@@ -218,7 +220,8 @@
       const LcSetMember *m = &sets->members[set->first + i];
       uint64_t score = lc_candidates__score (m, key_hash, set->is_weighted) | 1U;
 
-      if (m == other || (is_inside && m->dc != dc) || score <= best_score)
+      if (m == other || (is_inside && m->dc != dc) || (m->is_suspect && !is_any) ||
+          score <= best_score)
         continue;
       best = m;
       best_score = score;
@@ -237,10 +240,12 @@
   while (sets->n_sets > 0 && n < LC_HOMES)
     {
       const LcSetMember *before = n > 0 ? homes[n - 1] : NULL;
-      const LcSetMember *best = lc_candidates__best (sets, key_hash, dc, true, before);
+      const LcSetMember *best = lc_candidates__best (sets, key_hash, dc, true, false, before);
 
       if (best == NULL)
-        best = lc_candidates__best (sets, key_hash, dc, false, before);
+        best = lc_candidates__best (sets, key_hash, dc, false, false, before);
+      if (best == NULL)
+        best = lc_candidates__best (sets, key_hash, dc, false, true, before);
       if (best == NULL)
         break;
       homes[n++] = best;
--- a/src/core/flow/lc-candidates.h
+++ b/src/core/flow/lc-candidates.h
@@ -57,6 +57,7 @@
     uint64_t seed; /* of the endpoint's id */
     uint16_t weight_percent;
     LcDcId dc;
+    bool is_suspect; /* it does not answer (lc-reach.h): not a home while there are others */
   } LcSetMember;
 
   typedef struct
--- a/src/core/flow/lc-envelope.c
+++ b/src/core/flow/lc-envelope.c
@@ -41,7 +41,7 @@
     return LC_ERR_CORRUPT;
   if (bytes[2] != LC_ENVELOPE_VERSION)
     return LC_ERR_VERSION;
-  if (bytes[3] != LC_ENVELOPE_PACKET && bytes[3] != LC_ENVELOPE_MESSAGE)
+  if (bytes[3] < LC_ENVELOPE_PACKET || bytes[3] > LC_ENVELOPE_PROBE_ANSWER)
     return LC_ERR_CORRUPT;
   return bytes[3];
 }
--- a/src/core/flow/lc-envelope.h
+++ b/src/core/flow/lc-envelope.h
@@ -46,6 +46,8 @@
   {
     LC_ENVELOPE_PACKET = 1,
     LC_ENVELOPE_MESSAGE = 2,
+    LC_ENVELOPE_PROBE = 3, /* balancer to agent: are you there? (lc-reach.h); the prefix alone */
+    LC_ENVELOPE_PROBE_ANSWER = 4,
   } LcEnvelopeKind;
 
   /* Why the packet was sent to this agent. */
--- a/src/core/flow/lc-flow-balancer.c
+++ b/src/core/flow/lc-flow-balancer.c
@@ -142,6 +142,23 @@
   b->is_returning = is_returning;
 }
 
+void
+lc_flow_balancer_mark_suspects (LcFlowBalancer *b, const LcReach *reach, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      LcCandidateSets *sets = value;
+
+      for (uint32_t i = 0; i < sets->n_members; i++)
+        sets->members[i].is_suspect = lc_reach_is_suspect (reach, sets->members[i].candidate.ipv4,
+                                                           sets->members[i].candidate.port, now_us);
+    }
+}
+
 void
 lc_flow_balancer_set_cut_off (LcFlowBalancer *b, bool is_cut_off)
 {
--- a/src/core/flow/lc-flow-balancer.h
+++ b/src/core/flow/lc-flow-balancer.h
@@ -19,6 +19,7 @@
 #include "lc-candidates.h"
 #include "lc-envelope.h"
 #include "lc-flow-key.h"
+#include "lc-reach.h"
 
 #ifdef __cplusplus
 extern "C"
@@ -60,6 +61,10 @@
   /* The same for one service that changed. */
   void lc_flow_balancer_forget (LcFlowBalancer *balancer, LcServiceId service_id);
 
+  /* Takes over which agents are suspect now; they are homes only where there is no other. */
+  void
+  lc_flow_balancer_mark_suspects (LcFlowBalancer *balancer, const LcReach *reach, int64_t now_us);
+
   /* Whether upstream was last heard so long ago that homes may have gone unseen: packets then go
    * through the endpoints of the service in turn, and whichever lives renews a stale list. */
   void lc_flow_balancer_set_cut_off (LcFlowBalancer *balancer, bool is_cut_off);
--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -159,6 +159,15 @@
     lc_flow_pointers_start (a, f);
 }
 
+/* A copy of a first packet, and the backend server has not answered the one before: it does not
+ * live, or is very slow.  The copy goes to another. */
+static bool
+lc_flow_return__is_unanswered (const LcFlow *f, const LcPacket *packet)
+{
+  return f != NULL && f->kind == LC_FLOW_OWNED && packet->may_open && packet->n_copies > 0 &&
+         (f->flags & LC_FLOW_ANSWERED) == 0;
+}
+
 /* A first packet on a flow that has ended here opens a new one, which a leaving agent refuses. */
 static bool
 lc_flow_return__is_owned (const LcFlowAgent *a, const LcFlow *f, const LcPacket *packet)
@@ -177,6 +186,18 @@
   lc_flow_table_remove (&a->table, f);
 }
 
+/* To another endpoint, chosen here. */
+static LcFlowAction
+lc_flow_return__give_on (
+    LcFlowAgent *a, LcEnvelope *e, LcFlow *f, const LcPacket *packet, int64_t now_us)
+{
+  lc_flow_return__disown (a, f);
+  e->mode = LC_MODE_REFUSED;
+  e->stray_id = a->desc.self.id;
+  e->stray_instance = a->desc.self.instance;
+  return lc_flow_return__assign (a, e, NULL, packet, now_us);
+}
+
 /* === private: a packet on its way through the homes ========================================= */
 
 static LcFlowAction
@@ -185,6 +206,13 @@
 {
   LcSteerKnown known = lc_flow_agent__known (a, f);
 
+  /* A copy that comes while the owner has not registered the flow: it may never have got it. */
+  if (packet->may_open && packet->n_copies > 0 && known.kind == LC_FLOW_POINTER &&
+      !known.is_confirmed)
+    {
+      lc_assign_refused (&a->assign, known.other.id, now_us);
+      return lc_flow_return__assign (a, e, f, packet, now_us);
+    }
   if (known.kind == LC_FLOW_POINTER && known.is_live &&
       !lc_candidate_equal (&known.other, &a->desc.self))
     return lc_flow_agent__send (
@@ -207,6 +235,8 @@
   if (e->service_id != a->desc.service_id)
     return lc_flow_agent__drop (a, LC_DROP_WRONG_INSTANCE);
   a->arrival_dc = e->dc;
+  if (lc_flow_return__is_unanswered (f, packet))
+    return lc_flow_return__give_on (a, e, f, packet, now_us);
   if (lc_flow_return__is_owned (a, f, packet))
     {
       lc_flow_return__remind_homes (a, f, e);
@@ -289,7 +319,11 @@
     (void)lc_flow_agent__deliver (a, f, &of_caller, false, now_us);
   else if (!packet->is_reset) /* a reset answers what the backend server does not hold any more */
     (void)lc_flow_agent__take (a, f, &of_caller, now_us);
-  if (f != NULL && f->kind == LC_FLOW_OWNED && lc_flow_return__has_data (packet))
+  f = lc_flow_table_find (&a->table, &of_caller.key, lc_flow_key_hash (&of_caller.key));
+  if (f == NULL || f->kind != LC_FLOW_OWNED)
+    return;
+  f->flags |= LC_FLOW_ANSWERED;
+  if (lc_flow_return__has_data (packet))
     lc_flow_return__set_at_work (a, f, false);
 }
 
--- a/src/core/flow/lc-flow-table.h
+++ b/src/core/flow/lc-flow-table.h
@@ -59,6 +59,7 @@
     LC_FLOW_BEHIND = 8,    /* OWNED: not yet registered with the newest homes */
     LC_FLOW_ENDED = 16,    /* OWNED: the last packet passed */
     LC_FLOW_AT_WORK = 32,  /* OWNED: the caller sent data, and no answer has begun */
+    LC_FLOW_ANSWERED = 64, /* OWNED: the backend server has sent something */
   };
 
   typedef struct
--- a/tests/flow/test-flow-return.c
+++ b/tests/flow/test-flow-return.c
@@ -17,6 +17,7 @@
 {
   LcFlowAgent agent;
   bool is_up;
+  bool is_dead;         /* its backend server says nothing */
   bool is_full;         /* returns first packets */
   bool holds[N_FLOWS];  /* flows of its backend server */
   uint32_t n_firsts;    /* first packets that its backend server took */
@@ -174,6 +175,8 @@
   LcEnvelope e;
   LcFlowAction action;
 
+  if (n->is_dead)
+    return;
   if (p->may_open && !n->is_full)
     {
       n->n_firsts++;
@@ -501,6 +504,101 @@
 }
 END_TEST
 
+/* A backend server that says nothing: the copies of a first packet go to another. */
+START_TEST (test_copies_go_on)
+{
+  World w;
+
+  start (&w, 3);
+  w.nodes[1].is_dead = true;
+  for (uint32_t f = 0; f < N_FLOWS; f++)
+    {
+      LcPacket p = packet_of (f, true);
+
+      (void)send (&w, &p);
+      settle (&w); /* the agent of the dead one has registered the flow with its homes */
+      p.n_copies = 1;
+      (void)send (&w, &p);
+    }
+  settle (&w);
+  check_all_reach (&w, "after the copies");
+  stop (&w);
+}
+END_TEST
+
+/* An agent that is gone, while the view still names it: copies go to another, and packets of open
+ * flows find their owners by the homes that are left. */
+START_TEST (test_agent_gone)
+{
+  LcReach reach;
+  World w;
+
+  start (&w, 3);
+  open_flows (&w);
+  for (uint32_t f = 0; f < N_FLOWS; f++)
+    w.nodes[2].holds[f] = false; /* its flows are lost with it */
+  w.nodes[2].is_up = false;
+  lc_reach_init (&reach);
+  lc_reach_used (&reach, &w.nodes[2].agent.desc.self, w.now_us);
+  {
+    LcReachAddress due[4];
+
+    ck_assert_uint_eq (lc_reach_due (&reach, w.now_us, due, 4), 1);
+  }
+  w.now_us += LC_REACH_SUSPECT_US;
+  lc_flow_balancer_mark_suspects (&w.balancer, &reach, w.now_us);
+  for (uint32_t f = 0; f < N_FLOWS; f++)
+    {
+      LcPacket p = packet_of (f, false);
+      uint32_t before = w.nodes[0].n_delivered + w.nodes[1].n_delivered;
+
+      if (n_held (&w, f) == 0)
+        continue;
+      (void)send (&w, &p);
+      ck_assert_uint_eq (w.nodes[0].n_delivered + w.nodes[1].n_delivered, before + 1);
+    }
+  lc_reach_finish (&reach);
+  stop (&w);
+}
+END_TEST
+
+/* === probes ================================================================================= */
+
+static const struct
+{
+  const char *what;
+  int64_t answered_us; /* after the first probe; -1: never */
+  int64_t at_us;       /* after the first probe */
+  bool is_suspect;
+} REACH[] = {
+  { "just probed", -1, 0, false },
+  { "no answer yet", -1, LC_REACH_SUSPECT_US - 1, false },
+  { "no answer", -1, LC_REACH_SUSPECT_US, true },
+  { "answered", 1000, LC_REACH_SUSPECT_US, false },
+  { "answered late", LC_REACH_SUSPECT_US + 1000, LC_REACH_SUSPECT_US + 2000, false },
+};
+
+START_TEST (test_reach)
+{
+  LcCandidate to = { .id = 1, .ipv4 = 5, .port = 7100 };
+  LcReachAddress due[2];
+  LcReach reach;
+
+  lc_reach_init (&reach);
+  ck_assert_uint_eq (lc_reach_due (&reach, 1000, due, 2), 0);
+  lc_reach_used (&reach, &to, 1000);
+  ck_assert_uint_eq (lc_reach_due (&reach, 1000, due, 2), 1);
+  ck_assert_uint_eq (lc_reach_due (&reach, 1001, due, 2), 0); /* not again at once */
+  if (REACH[_i].answered_us >= 0)
+    lc_reach_answered (&reach, to.ipv4, to.port, 1000 + REACH[_i].answered_us);
+  ck_assert_msg (lc_reach_is_suspect (&reach, to.ipv4, to.port, 1000 + REACH[_i].at_us) ==
+                     REACH[_i].is_suspect,
+                 "%s", REACH[_i].what);
+  ck_assert (!lc_reach_is_suspect (&reach, 6, 7100, 1000 + REACH[_i].at_us));
+  lc_reach_finish (&reach);
+}
+END_TEST
+
 START_TEST (test_other_service_is_refused)
 {
   static const LcEnvelopeMode MODES[] = { LC_MODE_WALK, LC_MODE_OPEN, LC_MODE_OWNER,
@@ -640,6 +738,9 @@
   tcase_add_test (tcase, test_new_flows_avoid_who_leaves);
   tcase_add_loop_test (tcase, test_first_packets_are_returned, 0, (int)G_N_ELEMENTS (FULL));
   tcase_add_test (tcase, test_the_caller_chooses);
+  tcase_add_test (tcase, test_copies_go_on);
+  tcase_add_test (tcase, test_agent_gone);
+  tcase_add_loop_test (tcase, test_reach, 0, (int)G_N_ELEMENTS (REACH));
   tcase_add_test (tcase, test_other_service_is_refused);
   tcase_add_loop_test (tcase, test_lost_flows, 0, (int)G_N_ELEMENTS (LOST));
   tcase_add_test (tcase, test_denials);
