--- a/src/control/lc-control-settings.h
+++ b/src/control/lc-control-settings.h
@@ -32,6 +32,7 @@
   uint32_t election_min_ms;
   uint32_t election_max_ms;
   uint32_t snapshot_every;
+  uint32_t snapshot_every_kb;
   uint32_t request_timeout_ms;
   uint32_t lease_ms;
   uint32_t drain_limit_ms;
--- a/src/control/lc-replica.c
+++ b/src/control/lc-replica.c
@@ -89,6 +89,7 @@
       lc_metric_add (replica->metrics.malformed_total, 1);
       return;
     }
+  replica->log_bytes += len;
   lc_control_state_apply (&replica->state, entry->index, &command);
   if (replica->state.ops->len > 0)
     g_array_append_vals (replica->ops, replica->state.ops->data, replica->state.ops->len);
@@ -125,17 +126,19 @@
 static void
 lc_replica__maybe_snapshot (LcReplica *replica)
 {
+  const LcControlSettings *s = replica->desc.settings;
+  bool is_due = replica->raft.applied_index >= replica->snapshot_index + s->snapshot_every ||
+                replica->log_bytes >= (uint64_t)s->snapshot_every_kb << 10;
   LcRaftSnapshot snapshot;
   GBytes *data;
 
-  if (replica->is_snapshotting ||
-      replica->raft.applied_index <
-          replica->snapshot_index + replica->desc.settings->snapshot_every)
+  if (replica->is_snapshotting || !is_due)
     return;
   data = lc_control_state_pack (&replica->state);
   lc_raft_make_snapshot (&replica->raft, data, &snapshot);
   g_bytes_unref (data);
   replica->is_snapshotting = true;
+  replica->log_bytes = 0;
   lc_store_task_snapshot (&replica->task, &snapshot);
 }
 
--- a/src/control/lc-replica.h
+++ b/src/control/lc-replica.h
@@ -105,6 +105,7 @@
   LcReplicaMetrics metrics;
   LcLogLimit log_limit;
   uint64_t snapshot_index; /* newest saved or being saved */
+  uint64_t log_bytes;      /* applied since then */
   bool is_snapshotting;
   LcReplicaId noted_leader; /* as it was logged last */
   uint64_t noted_term;
--- a/src/core/control/lc-raft.c
+++ b/src/core/control/lc-raft.c
@@ -11,6 +11,7 @@
   LC_RAFT_BATCH_BYTES = 256 << 10,
   LC_RAFT_WINDOW_ENTRIES = 512,
   LC_RAFT_TRAILING = 1024,
+  LC_RAFT_TRAILING_BYTES = 2 << 20, /* some twenty of the largest declarations in use */
 };
 
 /* === private: time and chance =============================================================== */
@@ -77,6 +78,7 @@
   desc->batch_bytes = lc_raft__or (desc->batch_bytes, LC_RAFT_BATCH_BYTES);
   desc->window_entries = lc_raft__or (desc->window_entries, LC_RAFT_WINDOW_ENTRIES);
   desc->trailing = lc_raft__or (desc->trailing, LC_RAFT_TRAILING);
+  desc->trailing_bytes = lc_raft__or (desc->trailing_bytes, LC_RAFT_TRAILING_BYTES);
 }
 
 /* What recovery found is on disk already: nothing of it is handed out for writing. */
@@ -377,6 +379,26 @@
   snapshot->data = g_bytes_ref (data);
 }
 
+/* The entry before the oldest that is kept: a follower that is a little behind is sent entries, not
+ * a snapshot, but entries may be large. */
+static uint64_t
+lc_raft__trailing_base (const LcRaft *raft, uint64_t snapshot_index)
+{
+  uint64_t base = snapshot_index;
+  size_t bytes = 0;
+
+  while (base > raft->base_index && snapshot_index - base < raft->desc.trailing)
+    {
+      const LcRaftEntry *e = lc_raft__entry (raft, base);
+
+      bytes += e->data != NULL ? g_bytes_get_size (e->data) : 0;
+      if (bytes > raft->desc.trailing_bytes)
+        break;
+      base--;
+    }
+  return base;
+}
+
 void
 lc_raft_compact (LcRaft *raft, const LcRaftSnapshot *snapshot)
 {
@@ -384,8 +406,7 @@
     return;
   lc_raft_snapshot_finish (&raft->snapshot);
   lc_raft_snapshot_copy (&raft->snapshot, snapshot);
-  if (snapshot->index > raft->desc.trailing)
-    lc_raft__drop_before (raft, MAX (raft->base_index, snapshot->index - raft->desc.trailing));
+  lc_raft__drop_before (raft, lc_raft__trailing_base (raft, snapshot->index));
 }
 
 /* === public: questions ====================================================================== */
--- a/src/core/control/lc-raft.h
+++ b/src/core/control/lc-raft.h
@@ -60,6 +60,7 @@
     uint32_t batch_bytes;     /* 0: 256 KiB of entries a message, and a chunk of a snapshot */
     uint32_t window_entries;  /* 0: 512 sent ahead of a peer's acknowledgements */
     uint32_t trailing;        /* 0: 1024 entries kept in memory behind a snapshot */
+    uint32_t trailing_bytes;  /* 0: 2 MiB; of these entries at most so much */
 
     /* What recovery found; all zero for an empty data folder. */
     uint64_t term;
--- a/tests/control/test-raft.c
+++ b/tests/control/test-raft.c
@@ -382,6 +382,61 @@
 }
 END_TEST
 
+/* === memory behind a snapshot =============================================================== */
+
+static const struct
+{
+  const char *what;
+  size_t entry_bytes;
+  uint32_t trailing;
+  uint32_t trailing_bytes;
+  uint64_t base_index; /* after a snapshot of all 40 */
+} TRAILING[] = {
+  { "small entries: by number", 10, 16, 1 << 20, 24 },
+  { "large entries: by bytes", 100 << 10, 1024, 1 << 20, 30 },
+  { "one larger than all that may be kept", 2 << 20, 1024, 1 << 20, 40 },
+  { "all fit", 10, 1024, 1 << 20, 0 },
+};
+
+START_TEST (test_trailing)
+{
+  enum
+  {
+    N_ENTRIES = 40,
+  };
+  LcRaftEntry entries[N_ENTRIES];
+  LcRaftDesc desc = { .id = ME, .seed = 1, .term = 1, .initial_config = three () };
+  LcRaftSnapshot snapshot = { 0 };
+  LcRaft raft;
+
+  for (int i = 0; i < N_ENTRIES; i++)
+    entries[i] = (LcRaftEntry){ .index = (uint64_t)i + 1,
+                                .term = 1,
+                                .kind = LC_RAFT_ENTRY_COMMAND,
+                                .data = g_bytes_new_take (g_malloc0 (TRAILING[_i].entry_bytes),
+                                                          TRAILING[_i].entry_bytes) };
+  desc.entries = entries;
+  desc.n_entries = N_ENTRIES;
+  desc.trailing = TRAILING[_i].trailing;
+  desc.trailing_bytes = TRAILING[_i].trailing_bytes;
+  lc_raft_init (&raft, &desc, 0);
+  raft.commit_index = N_ENTRIES;
+  while (lc_raft_next_committed (&raft) != NULL)
+    lc_raft_applied (&raft);
+  snapshot.index = N_ENTRIES;
+  snapshot.term = 1;
+  snapshot.config = three ();
+  snapshot.data = g_bytes_new_static ("x", 1);
+  lc_raft_compact (&raft, &snapshot);
+  ck_assert_msg (raft.base_index == TRAILING[_i].base_index, "%s: %u", TRAILING[_i].what,
+                 (unsigned)raft.base_index);
+  lc_raft_snapshot_finish (&snapshot);
+  lc_raft_finish (&raft);
+  for (int i = 0; i < N_ENTRIES; i++)
+    g_bytes_unref (entries[i].data);
+}
+END_TEST
+
 /* === after a start of all =================================================================== */
 
 static const struct
@@ -531,6 +586,7 @@
   tcase_add_test (tcase, test_lease_is_given_up_when_the_clock_goes_back);
   tcase_add_test (tcase, test_lease_is_given_up_at_hand_over);
   tcase_add_loop_test (tcase, test_promises, 0, (int)G_N_ELEMENTS (PROMISES));
+  tcase_add_loop_test (tcase, test_trailing, 0, (int)G_N_ELEMENTS (TRAILING));
   tcase_add_loop_test (tcase, test_all_fresh, 0, (int)G_N_ELEMENTS (FRESH));
   tcase_add_loop_test (tcase, test_fresh_votes, 0, (int)G_N_ELEMENTS (FRESH_VOTES));
   tcase_add_test (tcase, test_leader_without_quorum_steps_down);
