Members learn where the control VMs are

Change: each status says which control VMs there are; a balancer links to new ones, an agent keeps them to turn to, and a reload of the settings adds those it names. Ruled out: putting control VMs into the view (a view only comes once a control VM is reached).

--- a/proto/lc-member.pb-c.c
+++ b/proto/lc-member.pb-c.c
@@ -939,7 +939,7 @@
   (ProtobufCMessageInit) lc__wire__member_renew__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__member_status__field_descriptors[5] =
+static const ProtobufCFieldDescriptor lc__wire__member_status__field_descriptors[6] =
 {
   {
     "revision",
@@ -1001,8 +1001,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "control",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Lc__Wire__MemberStatus, n_control),
+    offsetof(Lc__Wire__MemberStatus, control),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__member_status__field_indices_by_name[] = {
+  5,   /* field[5] = control */
   3,   /* field[3] = control_age_ms */
   4,   /* field[4] = is_confirmed */
   1,   /* field[1] = is_leader */
@@ -1012,7 +1025,7 @@
 static const ProtobufCIntRange lc__wire__member_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lc__wire__member_status__descriptor =
 {
@@ -1022,7 +1035,7 @@
   "Lc__Wire__MemberStatus",
   "lc.wire",
   sizeof(Lc__Wire__MemberStatus),
-  5,
+  6,
   lc__wire__member_status__field_descriptors,
   lc__wire__member_status__field_indices_by_name,
   1,  lc__wire__member_status__number_ranges,
--- a/proto/lc-member.pb-c.h
+++ b/proto/lc-member.pb-c.h
@@ -156,10 +156,15 @@
    * the view came from control since the sender's start
    */
   protobuf_c_boolean is_confirmed;
+  /*
+   * control VMs as the sender knows them: address << 16 | peer port
+   */
+  size_t n_control;
+  uint64_t *control;
 };
 #define LC__WIRE__MEMBER_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__member_status__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Lc__Wire__MemberReport
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -173,6 +173,17 @@
   return !p->app.is_draining && lc_member_view (&p->member)->revision > 0;
 }
 
+/* The settings name other VMs to start from. */
+static void
+lc_agent__on_reload (void *user, const void *settings)
+{
+  LcAgentProgram *p = user;
+  LcAgentSettings fresh = *(const LcAgentSettings *)settings;
+
+  lc_settings_set_ports (fresh.balancers, fresh.n_balancers, fresh.balancers_peer_port);
+  lc_member_learn_control (&p->member, fresh.balancers, fresh.n_balancers);
+}
+
 /* === start ================================================================================== */
 
 static LcInstance
@@ -254,7 +265,8 @@
   static LcAgentProgram p;
   LcAppDesc desc = { .program = "lychee-agent",
                      .schema = &LC_AGENT_SCHEMA,
-                     .settings = &p.settings };
+                     .settings = &p.settings,
+                     .reload = lc_agent__on_reload };
   LcError error = { 0 };
   int r = lc_app_init (&p.app, &desc, argc, argv);
 
--- a/src/balancer/main.c
+++ b/src/balancer/main.c
@@ -93,6 +93,17 @@
          lc_member_is_confirmed (&p->member);
 }
 
+/* The settings name other VMs to start from. */
+static void
+lc_balancer__on_reload (void *user, const void *settings)
+{
+  LcBalancerProgram *p = user;
+  LcBalancerSettings fresh = *(const LcBalancerSettings *)settings;
+
+  lc_settings_set_ports (fresh.control, fresh.n_control, fresh.control_peer_port);
+  lc_member_learn_control (&p->member, fresh.control, fresh.n_control);
+}
+
 /* === start ================================================================================== */
 
 static LcInstance
@@ -167,7 +178,8 @@
   static LcBalancerProgram p;
   LcAppDesc desc = { .program = "lychee-balancer",
                      .schema = &LC_BALANCER_SCHEMA,
-                     .settings = &p.settings };
+                     .settings = &p.settings,
+                     .reload = lc_balancer__on_reload };
   LcError error = { 0 };
   int r = lc_app_init (&p.app, &desc, argc, argv);
 
--- a/src/control/lc-distributor.c
+++ b/src/control/lc-distributor.c
@@ -14,7 +14,8 @@
 enum
 {
   LC_DISTRIBUTOR_TICK_MS = 100,
-  LC_DISTRIBUTOR_SOON_MS = 2, /* announcements that come together are proposed together */
+  LC_DISTRIBUTOR_CONTROL_MAX = 20, /* control VMs at most */
+  LC_DISTRIBUTOR_SOON_MS = 2,      /* announcements that come together are proposed together */
   LC_DISTRIBUTOR_SETTLE_MS = 200,
   LC_DISTRIBUTOR_PENDING_MS = 900, /* an equal proposal waits so long: below the resend time */
   LC_DISTRIBUTOR_SEED_MS = 500,
@@ -153,7 +154,14 @@
 {
   Lc__Wire__MemberStatus status = LC__WIRE__MEMBER_STATUS__INIT;
   int64_t age_us = lc_distributor__age_us (d, now_us);
-
+  LcSocketAddress known[LC_DISTRIBUTOR_CONTROL_MAX];
+  uint64_t control[LC_DISTRIBUTOR_CONTROL_MAX];
+
+  if (d->desc.control != NULL)
+    status.n_control = d->desc.control (d->desc.user, known, LC_DISTRIBUTOR_CONTROL_MAX);
+  status.control = control;
+  for (size_t i = 0; i < status.n_control; i++)
+    control[i] = ((uint64_t)known[i].ipv4 << 16) | known[i].port;
   status.revision = d->desc.view->revision;
   status.is_leader = d->desc.is_leader (d->desc.user);
   status.needs_hello = needs_hello;
--- a/src/control/lc-distributor.h
+++ b/src/control/lc-distributor.h
@@ -38,6 +38,8 @@
    * it never did.  NULL: 0 on the leader, and on a follower the time since it last was one or
    * started (so subscribers see that nobody vouches).  */
   int64_t (*leader_age_us) (void *user);
+  /* Where the control VMs are; returns how many.  NULL: nobody is told. */
+  uint32_t (*control) (void *user, LcSocketAddress *out, uint32_t max);
 } LcDistributorDesc;
 
 /* What is known of one data centre, for `lychee status` and `confirm --wait`. */
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -90,6 +90,19 @@
   return lc_replica_silence_us (&p->replica);
 }
 
+static uint32_t
+lc_control__addresses (void *user, LcSocketAddress *out, uint32_t max)
+{
+  LcControlProgram *p = user;
+  const LcRaftConfig *config = &p->replica.raft.config;
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < config->n_members && n < max; i++)
+    out[n++] =
+        (LcSocketAddress){ .ipv4 = config->members[i].ipv4, .port = config->members[i].peer_port };
+  return n;
+}
+
 /* === planned stop =========================================================================== */
 
 static void
@@ -132,7 +145,8 @@
                                     .user = p,
                                     .propose = lc_control__propose,
                                     .is_leader = lc_control__is_leader,
-                                    .leader_age_us = lc_control__leader_age_us };
+                                    .leader_age_us = lc_control__leader_age_us,
+                                    .control = lc_control__addresses };
   int r = lc_control_http_init (&p->http, &http, error);
 
   if (r == 0)
--- a/src/controller/lc-member-choose.c
+++ b/src/controller/lc-member-choose.c
@@ -210,11 +210,24 @@
 lc_member__open_control (LcMember *member, int64_t now_us)
 {
   for (uint32_t i = 0; i < member->first_moving; i++)
-    if (!member->slots[i].is_open)
+    if (!member->slots[i].is_open && member->slots[i].address.ipv4 != 0)
       lc_member__open (&member->slots[i], member->slots[i].address.ipv4,
                        member->slots[i].address.port, now_us);
 }
 
+void
+lc_member__place_control (LcMember *member,
+                          uint32_t slot_index,
+                          const LcSocketAddress *address,
+                          int64_t now_us)
+{
+  LcMemberSlot *slot = &member->slots[slot_index];
+
+  lc_member__close (slot, now_us);
+  slot->address = *address;
+  lc_member__tick_soon (member);
+}
+
 static void
 lc_member__list_relays (LcMember *member)
 {
--- a/src/controller/lc-member-private.h
+++ b/src/controller/lc-member-private.h
@@ -36,6 +36,11 @@
 /* === lc-member-choose.c: which upstreams, and which of them the view comes from ============== */
 
 void lc_member__add_seeds (LcMember *member);
+/* Gives a balancer's slot for control another address. */
+void lc_member__place_control (LcMember *member,
+                               uint32_t slot_index,
+                               const LcSocketAddress *address,
+                               int64_t now_us);
 void lc_member__list_balancers (LcMember *member, int64_t now_us);
 /* Watchers of an agent, relays of a balancer. */
 void lc_member__choose_moving (LcMember *member, LcUpstreams *from, int64_t now_us);
--- a/src/controller/lc-member-upstream.c
+++ b/src/controller/lc-member-upstream.c
@@ -327,6 +327,18 @@
 
 /* === private: other frames from upstream ==================================================== */
 
+static void
+lc_member__read_control (LcMember *member, const Lc__Wire__MemberStatus *status)
+{
+  LcSocketAddress list[LC_MEMBER_MAX_CONTROL];
+  uint32_t n = (uint32_t)MIN (status->n_control, (size_t)LC_MEMBER_MAX_CONTROL);
+
+  for (uint32_t i = 0; i < n; i++)
+    list[i] = (LcSocketAddress){ .ipv4 = (uint32_t)(status->control[i] >> 16),
+                                 .port = (uint16_t)status->control[i] };
+  lc_member_learn_control (member, list, n);
+}
+
 static void
 lc_member__on_status (LcMemberSlot *slot, const LcFrame *frame, int64_t now_us)
 {
@@ -351,6 +363,7 @@
     }
   if (status->is_confirmed && slot->is_subscribed && member->sync.view.revision > 0)
     member->is_confirmed = true;
+  lc_member__read_control (member, status);
   if (status->needs_hello && !member->is_held)
     lc_member__send_hello (slot, lc_member__link (slot));
   lc__wire__member_status__free_unpacked (status, NULL);
--- a/src/controller/lc-member.c
+++ b/src/controller/lc-member.c
@@ -126,12 +126,13 @@
   member->is_held = desc->is_held;
   member->balancers_seen_revision = -1;
   member->started_us = lc_clock_now_us ();
-  member->first_moving = desc->kind == LC_MEMBER_AGENT ? 0 : desc->n_upstreams;
+  member->first_moving = desc->kind == LC_MEMBER_AGENT ? 0 : LC_MEMBER_MAX_CONTROL;
   member->n_slots = member->first_moving + LC_MEMBER_MOVING_SLOTS;
   for (uint32_t i = 0; i < member->n_slots; i++)
     {
       member->slots[i].member = member;
-      member->slots[i].address = desc->upstreams[MIN (i, desc->n_upstreams - 1)];
+      if (i < desc->n_upstreams)
+        member->slots[i].address = desc->upstreams[i];
     }
   member->n_seeds = MIN (desc->n_upstreams, LC_MEMBER_MAX_CONTROL);
   memcpy (member->seeds, desc->upstreams, member->n_seeds * sizeof *member->seeds);
@@ -227,6 +228,59 @@
   member->is_kept = true;
 }
 
+static bool
+lc_member__knows (const LcMember *member, const LcSocketAddress *address)
+{
+  for (uint32_t i = 0; i < member->n_seeds; i++)
+    if (member->seeds[i].ipv4 == address->ipv4 && member->seeds[i].port == address->port)
+      return true;
+  return false;
+}
+
+/* Where a new control VM is put: behind the others, or in the place of one that is not there. */
+static uint32_t
+lc_member__seed_place (const LcMember *member, int64_t now_us)
+{
+  if (member->n_seeds < LC_MEMBER_MAX_CONTROL)
+    return member->n_seeds;
+  for (uint32_t i = 0; member->desc.kind == LC_MEMBER_BALANCER && i < member->first_moving; i++)
+    if (!lc_member__is_usable (&member->slots[i], now_us))
+      return i;
+  return 0;
+}
+
+static void
+lc_member__learn_one (LcMember *member, const LcSocketAddress *address, int64_t now_us)
+{
+  uint32_t place = lc_member__seed_place (member, now_us);
+
+  LC_INFO ("member.control-learned", "ipv4", LC_U64 (address->ipv4), "port",
+           LC_U64 (address->port));
+  member->seeds[place] = *address;
+  member->n_seeds = MAX (member->n_seeds, place + 1);
+  if (member->desc.kind == LC_MEMBER_BALANCER)
+    lc_member__place_control (member, place, address, now_us);
+}
+
+void
+lc_member_learn_control (LcMember *member, const LcSocketAddress *list, uint32_t n)
+{
+  int64_t now_us = lc_clock_now_us ();
+
+  for (uint32_t i = 0; i < n; i++)
+    if (list[i].ipv4 != 0 && list[i].port != 0 && !lc_member__knows (member, &list[i]))
+      lc_member__learn_one (member, &list[i], now_us);
+}
+
+uint32_t
+lc_member_control (const LcMember *member, LcSocketAddress *out, uint32_t max)
+{
+  uint32_t n = MIN (member->n_seeds, max);
+
+  memcpy (out, member->seeds, n * sizeof *out);
+  return n;
+}
+
 void
 lc_member_set_registered (LcMember *member, LcRevision revision)
 {
--- a/src/controller/lc-member.h
+++ b/src/controller/lc-member.h
@@ -153,6 +153,11 @@
 void lc_member_announce (LcMember *member, LcInstance instance, uint8_t slots);
 /* The process ends, but what it announced stays: another process goes on for it. */
 void lc_member_keep (LcMember *member);
+/* Control VMs that are there now, besides those known: replaced ones have other addresses than the
+ * settings say.  A balancer links to them; an agent tries them when it has lost its balancers. */
+void lc_member_learn_control (LcMember *member, const LcSocketAddress *list, uint32_t n);
+/* Those known; returns how many. */
+uint32_t lc_member_control (const LcMember *member, LcSocketAddress *out, uint32_t max);
 /* The instance that this agent or balancer speaks under. */
 LcInstance lc_member_instance (const LcMember *member);
 void lc_member_frame (LcMember *member, LcLink *link, const LcFrame *frame);
--- a/tests/fakes/lc-member-fake.c
+++ b/tests/fakes/lc-member-fake.c
@@ -230,3 +230,8 @@
 lc_member_keep (LcMember *member)
 {
 }
+
+void
+lc_member_learn_control (LcMember *member, const LcSocketAddress *list, uint32_t n)
+{
+}
