Members: a leaving endpoint is gone only by its own word

The trace: an endpoint that drains was missing from the views of all other agents 1.6 s after it began, so a search did not wait for its word, every other backend server denied the flow, and the caller got a reset of an open flow. It was missing because a balancer that had started 15 s before took a lease for it from the view, as its watcher by rendezvous, heard nothing (the agent still renewed with its former watchers), and reported GONE: the lease of a member that drains was taken for its end. Change: GONE is reported only when the member has said so; a lease that ends says LOST, whatever the state, and a leaving member that is missing or lost in the view is announced again. A lost endpoint leaves the view after ten minutes. Ruled out: a memory of removed endpoints in the agents (an agent that starts later has none).

--- a/src/control/lc-distributor.c
+++ b/src/control/lc-distributor.c
@@ -38,6 +38,7 @@
   int64_t seeded_us;
   int64_t settled_us;
   int64_t swept_us;
+  GHashTable *lost_since; /* endpoint id -> when this leader first saw it lost */
   bool was_leader;
   LcMetric *proposed_total;
   LcMetric *held_total;
@@ -54,6 +55,9 @@
 
 /* === private: proposals ===================================================================== */
 
+/* Longer than any flow or claim is kept, and than an ordinary outage. */
+#define LC_DISTRIBUTOR_FORGET_US (600 * LC_US_PER_S)
+
 static gpointer
 lc_distributor__key (const LcMemberChange *change)
 {
@@ -396,8 +400,6 @@
 
           if (e->dc != dc->id || e->state == LC_ENDPOINT_LOST)
             continue;
-          if (e->state == LC_ENDPOINT_DRAINING)
-            change.kind = LC_MEMBER_ENDPOINT_GONE;
           change.endpoint = *e;
           (void)g_strlcpy (change.service, s->name, sizeof change.service);
           (void)g_strlcpy (change.data_centre, dc->name, sizeof change.data_centre);
@@ -406,6 +408,62 @@
     }
 }
 
+/* === private: endpoints that stay lost ====================================================== */
+
+/* When this leader first saw the endpoint lost. */
+static int64_t
+lc_distributor__lost_since (LcDistributor *d, const LcEndpoint *e, int64_t now_us)
+{
+  int64_t *since_us = g_hash_table_lookup (d->lost_since, GUINT_TO_POINTER (e->id));
+
+  if (since_us != NULL)
+    return *since_us;
+  since_us = g_new (int64_t, 1);
+  *since_us = now_us;
+  g_hash_table_insert (d->lost_since, GUINT_TO_POINTER (e->id), since_us);
+  return now_us;
+}
+
+static gboolean
+lc_distributor__is_lost_no_more (gpointer key, gpointer value, gpointer user)
+{
+  const LcEndpoint *e = lc_view_endpoint (user, GPOINTER_TO_UINT (key));
+
+  (void)value;
+  return e == NULL || e->state != LC_ENDPOINT_LOST;
+}
+
+/* A lost endpoint may come back with its flows, so it stays in the view; but not for ever. */
+static void
+lc_distributor__forget_lost (LcDistributor *d, const LcService *s, int64_t now_us)
+{
+  for (uint32_t i = 0; i < s->n_endpoints; i++)
+    {
+      const LcEndpoint *e = &s->endpoints[i];
+      LcMemberChange change = { .kind = LC_MEMBER_ENDPOINT_GONE };
+
+      if (e->state != LC_ENDPOINT_LOST ||
+          now_us - lc_distributor__lost_since (d, e, now_us) < LC_DISTRIBUTOR_FORGET_US)
+        continue;
+      change.endpoint = *e;
+      (void)g_strlcpy (change.service, s->name, sizeof change.service);
+      lc_distributor__propose (d, &change, now_us);
+    }
+}
+
+static void
+lc_distributor__sweep_lost (LcDistributor *d, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  (void)g_hash_table_foreach_remove (d->lost_since, lc_distributor__is_lost_no_more,
+                                     (gpointer)d->desc.view);
+  g_hash_table_iter_init (&iter, d->desc.view->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    lc_distributor__forget_lost (d, value, now_us);
+}
+
 /* Where every balancer is lost, nobody is left to report the endpoints.  The guard has held the
  * loss of the balancers already, and holds that of the endpoints in its turn. */
 static void
@@ -416,6 +474,7 @@
   if (now_us - d->swept_us < LC_DISTRIBUTOR_SWEEP_MS * LC_US_PER_MS)
     return;
   d->swept_us = now_us;
+  lc_distributor__sweep_lost (d, now_us);
   for (guint i = 0; i < view->dcs->len; i++)
     {
       const LcDataCentre *dc = &g_array_index (view->dcs, LcDataCentre, i);
@@ -521,6 +580,7 @@
   lc_watch_init (&d->watch, &watch);
   lc_guard_init (&d->guard, &guard);
   d->pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  d->lost_since = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   lc_distributor__init_metrics (d);
   lc_timer_init (&d->tick, desc->app->loop, lc_distributor__on_tick, d);
   lc_timer_start (&d->tick, LC_DISTRIBUTOR_TICK_MS);
@@ -534,6 +594,7 @@
     return;
   lc_timer_finish (&d->tick);
   g_hash_table_destroy (d->pending);
+  g_hash_table_destroy (d->lost_since);
   lc_guard_finish (&d->guard);
   lc_watch_finish (&d->watch);
   lc_view_server_finish (&d->server);
--- a/src/core/member/lc-watch.c
+++ b/src/core/member/lc-watch.c
@@ -76,17 +76,15 @@
   bool is_open =
       is_mine && (seen->state == LC_ENDPOINT_JOINING || seen->state == LC_ENDPOINT_ACTIVE);
 
+  /* Only its own word says that it is gone: one that leaves may live on with its flows while this
+   * watcher hears nothing of it, because it renews its lease with others. */
+  if (lease->phase == LC_MEMBER_PHASE_GONE)
+    return is_mine ? LC_MEMBER_ENDPOINT_GONE : 0;
   if (lc_watch__is_over (lease))
-    {
-      if (!is_mine || seen->state == LC_ENDPOINT_LOST)
-        return 0;
-      return lc_watch__is_leaving (lease) || seen->state == LC_ENDPOINT_DRAINING
-                 ? LC_MEMBER_ENDPOINT_GONE
-                 : LC_MEMBER_ENDPOINT_LOST;
-    }
+    return is_mine && seen->state != LC_ENDPOINT_LOST ? LC_MEMBER_ENDPOINT_LOST : 0;
   if (lease->is_seeded || lease->state != LC_LEASE_HELD)
     return 0;
-  if (lc_watch__is_leaving (lease))
+  if (lc_watch__is_leaving (lease) && seen != NULL && (!is_mine || seen->state != LC_ENDPOINT_LOST))
     return is_open ? LC_MEMBER_ENDPOINT_LEAVING : 0;
   if (!is_mine || seen->state == LC_ENDPOINT_LOST || lc_watch__endpoint_differs (mine, seen))
     return LC_MEMBER_ENDPOINT_ANNOUNCED;
--- a/tests/member/test-member.c
+++ b/tests/member/test-member.c
@@ -308,6 +308,67 @@
 }
 END_TEST
 
+/* === what a watcher reports ================================================================= */
+
+typedef enum
+{
+  UNSEEN,
+  OTHER, /* the view has a newer process of that name */
+  MINE,
+} Seen;
+
+static const struct
+{
+  const char *what;
+  Seen seen;
+  LcEndpointState state; /* in the view */
+  LcMemberPhase phase;   /* that the member said last */
+  LcLeaseState lease;
+  bool is_seeded;
+  LcMemberChangeKind expected;
+} REPORTS[] = {
+  { "new", UNSEEN, 0, LC_MEMBER_PHASE_LIVE, LC_LEASE_HELD, false, LC_MEMBER_ENDPOINT_ANNOUNCED },
+  { "there", MINE, LC_ENDPOINT_ACTIVE, LC_MEMBER_PHASE_LIVE, LC_LEASE_HELD, false, 0 },
+  { "leaves", MINE, LC_ENDPOINT_ACTIVE, LC_MEMBER_PHASE_LEAVING, LC_LEASE_HELD, false,
+    LC_MEMBER_ENDPOINT_LEAVING },
+  { "leaves, and the view shows it", MINE, LC_ENDPOINT_DRAINING, LC_MEMBER_PHASE_LEAVING,
+    LC_LEASE_HELD, false, 0 },
+  { "leaves, and the view has lost it", MINE, LC_ENDPOINT_LOST, LC_MEMBER_PHASE_LEAVING,
+    LC_LEASE_HELD, false, LC_MEMBER_ENDPOINT_ANNOUNCED },
+  { "leaves, and is missing in the view", UNSEEN, 0, LC_MEMBER_PHASE_LEAVING, LC_LEASE_HELD, false,
+    LC_MEMBER_ENDPOINT_ANNOUNCED },
+  { "leaves, and a newer process has its name", OTHER, LC_ENDPOINT_ACTIVE, LC_MEMBER_PHASE_LEAVING,
+    LC_LEASE_HELD, false, 0 },
+  { "has gone", MINE, LC_ENDPOINT_DRAINING, LC_MEMBER_PHASE_GONE, LC_LEASE_HELD, false,
+    LC_MEMBER_ENDPOINT_GONE },
+  { "silent", MINE, LC_ENDPOINT_ACTIVE, LC_MEMBER_PHASE_LIVE, LC_LEASE_LOST, false,
+    LC_MEMBER_ENDPOINT_LOST },
+  { "silent while it leaves", MINE, LC_ENDPOINT_DRAINING, LC_MEMBER_PHASE_LEAVING, LC_LEASE_LOST,
+    false, LC_MEMBER_ENDPOINT_LOST },
+  { "leaves, watched by others, seeded here and not heard", MINE, LC_ENDPOINT_DRAINING,
+    LC_MEMBER_PHASE_LIVE, LC_LEASE_LOST, true, LC_MEMBER_ENDPOINT_LOST },
+  { "seeded and not heard yet", MINE, LC_ENDPOINT_DRAINING, LC_MEMBER_PHASE_LIVE, LC_LEASE_HELD,
+    true, 0 },
+};
+
+START_TEST (test_reports)
+{
+  LcLease lease = { .state = (uint8_t)REPORTS[_i].lease,
+                    .phase = (uint8_t)REPORTS[_i].phase,
+                    .is_seeded = REPORTS[_i].is_seeded };
+  LcViewOp op = endpoint_op (50, 1, REPORTS[_i].state);
+
+  lease.member.kind = LC_MEMBER_ENDPOINT_ANNOUNCED;
+  lease.member.endpoint = op.endpoint;
+  if (REPORTS[_i].seen == OTHER)
+    op.endpoint.instance = 51;
+  if (REPORTS[_i].seen != UNSEEN)
+    apply (op);
+  ck_assert_msg (lc_watch_missing (&lease, &view) == REPORTS[_i].expected, "%s: %d",
+                 REPORTS[_i].what, (int)lc_watch_missing (&lease, &view));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -316,6 +377,7 @@
   SRunner *runner;
   int failed;
 
+  tcase_add_loop_test (tc, test_reports, 0, (int)G_N_ELEMENTS (REPORTS));
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, test_flap, 0, G_N_ELEMENTS (FLAPS));
   tcase_add_loop_test (tc, test_settle, 0, G_N_ELEMENTS (SETTLES));
