--- a/src/balancer/lc-balancer-flow.c
+++ b/src/balancer/lc-balancer-flow.c
@@ -89,6 +89,19 @@
   plane->last_packet_us = lc_clock_now_us ();
 }
 
+static void
+lc_balancer_flow__note_alone (LcBalancerFlow *plane, bool is_alone)
+{
+  if (plane->is_alone == is_alone)
+    return;
+  plane->is_alone = is_alone;
+  if (is_alone)
+    LC_WARN ("flow.cut-off", "meaning", LC_STR ("no agent answers: not ready"), "remedy",
+             LC_STR ("check the network between this balancer and the agents"));
+  else
+    LC_INFO ("flow.reaches-agents");
+}
+
 /* Agents that are in use are asked whether they are there. */
 static void
 lc_balancer_flow__probe (LcBalancerFlow *plane, int64_t now_us)
@@ -102,6 +115,7 @@
     (void)lc_datagram_send (&plane->port, due[i].ipv4, due[i].port, bytes, sizeof bytes, NULL, 0);
   lc_datagram_flush (&plane->port);
   lc_flow_balancer_mark_suspects (&plane->balancer, &plane->reach, now_us);
+  lc_balancer_flow__note_alone (plane, lc_reach_is_alone (&plane->reach, now_us));
 }
 
 static void
@@ -222,6 +236,12 @@
       lc_clock_now_us () + (int64_t)plane->desc.settings->drain_hold_ms * LC_US_PER_MS;
 }
 
+bool
+lc_balancer_flow_is_alone (const LcBalancerFlow *plane)
+{
+  return plane->is_alone;
+}
+
 bool
 lc_balancer_flow_is_idle (const LcBalancerFlow *plane)
 {
--- a/src/balancer/lc-balancer-flow.h
+++ b/src/balancer/lc-balancer-flow.h
@@ -42,6 +42,7 @@
   LcFlowMeter meter;
   int64_t last_packet_us;
   bool is_draining;
+  bool is_alone;         /* no agent answers its probes */
   int64_t hold_until_us; /* a planned stop steers until then, and until it is quiet */
   uint64_t reset_total;
   uint64_t steered_total;
@@ -59,6 +60,8 @@
 void lc_balancer_flow_link_down (LcBalancerFlow *plane, LcLink *link);
 /* A planned stop begins: take nothing new, let what runs end. */
 void lc_balancer_flow_drain (LcBalancerFlow *plane);
+/* Whether it can't serve because no agent answers it. */
+bool lc_balancer_flow_is_alone (const LcBalancerFlow *plane);
 bool lc_balancer_flow_is_idle (const LcBalancerFlow *plane);
 
 #endif
--- a/src/balancer/main.c
+++ b/src/balancer/main.c
@@ -90,7 +90,7 @@
   LcBalancerProgram *p = user;
 
   return !p->app.is_draining && lc_member_view (&p->member)->revision > 0 &&
-         lc_member_is_confirmed (&p->member);
+         lc_member_is_confirmed (&p->member) && !lc_balancer_flow_is_alone (&p->flow);
 }
 
 /* The settings name other VMs to start from. */
--- a/src/core/flow/lc-reach.c
+++ b/src/core/flow/lc-reach.c
@@ -110,6 +110,22 @@
     a->unanswered_us = 0;
 }
 
+bool
+lc_reach_is_alone (LcReach *r, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, r->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (!lc_reach__is_late (value, now_us))
+      return false;
+  g_hash_table_iter_init (&iter, r->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((LcReachAgent *)value)->used_us = now_us;
+  return g_hash_table_size (r->agents) > 0;
+}
+
 bool
 lc_reach_is_suspect (const LcReach *r, uint32_t ipv4, uint16_t port, int64_t now_us)
 {
--- a/src/core/flow/lc-reach.h
+++ b/src/core/flow/lc-reach.h
@@ -56,6 +56,9 @@
   /* Fills `out` with agents to probe, and counts them as probed; returns how many. */
   uint32_t lc_reach_due (LcReach *reach, int64_t now_us, LcReachAddress *out, uint32_t max);
   void lc_reach_answered (LcReach *reach, uint32_t ipv4, uint16_t port, int64_t now_us);
+  /* Whether no agent that was in use answers: this balancer is cut off from them, rather than all
+   * of them dead.  They are then probed on, although no packet goes there. */
+  bool lc_reach_is_alone (LcReach *reach, int64_t now_us);
   bool lc_reach_is_suspect (const LcReach *reach, uint32_t ipv4, uint16_t port, int64_t now_us);
 
 #ifdef __cplusplus
--- a/src/io/lc-log.c
+++ b/src/io/lc-log.c
@@ -3,9 +3,10 @@
 #include "core/lc-types.h"
 
 #include <glib.h>
+#include <poll.h>
 #include <stdarg.h>
-#include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 enum
 {
@@ -20,6 +21,8 @@
   char program[LC_LOG_NAME_BYTES];
   char name[LC_LOG_NAME_BYTES];
   GMutex lock;
+  uint64_t dropped_total;
+  uint64_t dropped_told; /* of these, told in a line */
 } lc_log__state = { .level = LC_LOG_INFO };
 
 static const char *const LC_LOG_LEVEL_NAMES[] = { "debug", "info", "warn", "error" };
@@ -102,6 +105,48 @@
   return NULL;
 }
 
+static bool
+lc_log__has_room (void)
+{
+  struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+  return poll (&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
+}
+
+/* Where a line finds room, so do a few hundred bytes more before it. */
+static void
+lc_log__tell_dropped (void)
+{
+  GString *line;
+
+  if (lc_log__state.dropped_total == lc_log__state.dropped_told)
+    return;
+  line = lc_log__begin (LC_LOG_WARN, "log.dropped");
+  lc_log__append_field (line, "lines",
+                        &LC_U64 (lc_log__state.dropped_total - lc_log__state.dropped_told));
+  g_string_append (line, "}\n");
+  if (write (STDOUT_FILENO, line->str, line->len) == (gssize)line->len)
+    lc_log__state.dropped_told = lc_log__state.dropped_total;
+  g_string_free (line, TRUE);
+}
+
+static void
+lc_log__put (const char *line)
+{
+  size_t len = strlen (line);
+
+  g_mutex_lock (&lc_log__state.lock);
+  if (lc_log__has_room ())
+    {
+      lc_log__tell_dropped ();
+      if (write (STDOUT_FILENO, line, len) != (gssize)len)
+        lc_log__state.dropped_total++;
+    }
+  else
+    lc_log__state.dropped_total++;
+  g_mutex_unlock (&lc_log__state.lock);
+}
+
 /* Our own lines arrive finished in LC_LINE; a library's message is wrapped as an event. */
 static GLogWriterOutput
 lc_log__write (GLogLevelFlags flags, const GLogField *fields, gsize n_fields, gpointer user)
@@ -117,10 +162,7 @@
       lc_log__append_field (line, "message", &LC_STR (message));
       g_string_append (line, "}\n");
     }
-  g_mutex_lock (&lc_log__state.lock);
-  (void)fputs (ready != NULL ? ready : line->str, stderr);
-  (void)fflush (stderr);
-  g_mutex_unlock (&lc_log__state.lock);
+  lc_log__put (ready != NULL ? ready : line->str);
   if (line != NULL)
     g_string_free (line, TRUE);
   return G_LOG_WRITER_HANDLED;
@@ -170,6 +212,12 @@
   return -1;
 }
 
+uint64_t
+lc_log_dropped_total (void)
+{
+  return lc_log__state.dropped_total;
+}
+
 bool
 lc_log_enabled (LcLogLevel level)
 {
--- a/src/io/lc-log.h
+++ b/src/io/lc-log.h
@@ -1,4 +1,4 @@
-/* lc-log: JSON lines on standard error, through GLib's structured logging.
+/* lc-log: JSON lines on standard output, through GLib's structured logging.
  *
  * HOW TO USE IT
  *     lc_log_init (LC_LOG_INFO, "balancer", "lb-atl-1");
@@ -12,6 +12,10 @@
  *   lc_log_allow (&limit, now_us, per_s) lets at most `per_s` lines a second through, for events
  *   that bad input can cause.
  *
+ * NEVER BLOCKS
+ *   A line that the reader of standard output has no room for is left out and counted; the next one
+ *   that finds room is preceded by "log.dropped" with the count.
+ *
  * LIMITS
  *   At most 12 fields.  Safe from several threads.
  */
@@ -64,6 +68,8 @@
 /* "debug", "info", "warn", "error"; returns -1 for another word. */
 int lc_log_level_parse (const char *word);
 bool lc_log_enabled (LcLogLevel level);
+/* Lines that found no room, since the start. */
+uint64_t lc_log_dropped_total (void);
 bool lc_log_allow (LcLogLimit *limit, int64_t now_us, uint32_t per_s);
 /* Pairs of (const char *key, LcLogValue value), ended by a NULL key. */
 void lc_log_event (LcLogLevel level, const char *event, ...);
--- a/tests/control/test_processes.py
+++ b/tests/control/test_processes.py
@@ -64,7 +64,7 @@
                        "members": [f"{m.address}:{m.peer}" for m in members]}, out)
 
     def start(self):
-        self.process = subprocess.Popen([CONTROL, "--settings", self.settings], stderr=self.log)
+        self.process = subprocess.Popen([CONTROL, "--settings", self.settings], stdout=self.log, stderr=self.log)
 
     def signal(self, number):
         self.process.send_signal(number)
--- a/tests/fakes/cluster.py
+++ b/tests/fakes/cluster.py
@@ -184,7 +184,8 @@
         env = dict(os.environ, LC_FAKE_VIEW=self.view, LC_FAKE_ANNOUNCE=self.announce)
         with open(os.path.join(self.cluster.dir, self.name + ".log"), "ab") as log:
             self.popen = subprocess.Popen([self.cluster.program[self.kind], "--settings",
-                                           self.settings_path], stderr=log, env=env)
+                                           self.settings_path], stdout=log, stderr=log,
+                                          env=env)
         self.instance = until(self._instance, self.name + " to start")
 
     def _instance(self):
--- a/tests/flow/test-flow-return.c
+++ b/tests/flow/test-flow-return.c
@@ -599,6 +599,37 @@
 }
 END_TEST
 
+/* A balancer that no agent answers is cut off, until one of them does. */
+START_TEST (test_alone)
+{
+  LcCandidate agents[] = { { .ipv4 = 5, .port = 7100 }, { .ipv4 = 6, .port = 7100 } };
+  int64_t late_us = 1000 + LC_REACH_SUSPECT_US;
+  LcReachAddress due[4];
+  LcReach reach;
+
+  lc_reach_init (&reach);
+  ck_assert (!lc_reach_is_alone (&reach, 1000)); /* it sends to nobody */
+  for (int i = 0; i < 2; i++)
+    lc_reach_used (&reach, &agents[i], 1000);
+  ck_assert_uint_eq (lc_reach_due (&reach, 1000, due, 4), 2);
+  lc_reach_answered (&reach, 5, 7100, 2000);
+  ck_assert (!lc_reach_is_alone (&reach, late_us));
+  lc_reach_used (&reach, &agents[0], late_us);
+  ck_assert_uint_eq (lc_reach_due (&reach, late_us, due, 4), 2);
+  late_us += LC_REACH_SUSPECT_US;
+  ck_assert (lc_reach_is_alone (&reach, late_us));
+  /* It goes on asking for longer than it remembers agents without packets. */
+  for (int64_t t = late_us; t < late_us + 2 * LC_REACH_FORGET_US; t += LC_REACH_PROBE_US)
+    {
+      ck_assert (lc_reach_is_alone (&reach, t));
+      ck_assert_uint_eq (lc_reach_due (&reach, t, due, 4), 2);
+    }
+  lc_reach_answered (&reach, 6, 7100, late_us);
+  ck_assert (!lc_reach_is_alone (&reach, late_us));
+  lc_reach_finish (&reach);
+}
+END_TEST
+
 START_TEST (test_other_service_is_refused)
 {
   static const LcEnvelopeMode MODES[] = { LC_MODE_WALK, LC_MODE_OPEN, LC_MODE_OWNER,
@@ -741,6 +772,7 @@
   tcase_add_test (tcase, test_copies_go_on);
   tcase_add_test (tcase, test_agent_gone);
   tcase_add_loop_test (tcase, test_reach, 0, (int)G_N_ELEMENTS (REACH));
+  tcase_add_test (tcase, test_alone);
   tcase_add_test (tcase, test_other_service_is_refused);
   tcase_add_loop_test (tcase, test_lost_flows, 0, (int)G_N_ELEMENTS (LOST));
   tcase_add_test (tcase, test_denials);
--- a/tests/platform/test-observe.c
+++ b/tests/platform/test-observe.c
@@ -83,15 +83,15 @@
 {
   char path[] = "/tmp/lychee-test-log.XXXXXX";
   int fd = mkstemp (path);
-  int saved = dup (STDERR_FILENO);
+  int saved = dup (STDOUT_FILENO);
   json_t *line;
 
-  (void)fflush (stderr);
-  (void)dup2 (fd, STDERR_FILENO);
+  (void)fflush (stdout);
+  (void)dup2 (fd, STDOUT_FILENO);
   LC_DEBUG ("test.hidden");
   LC_INFO ("test.event", "text", LC_STR (text), "u", LC_U64 (UINT64_C (9007199254740993)), "i",
            LC_I64 (-3), "d", LC_DBL (0.5));
-  (void)dup2 (saved, STDERR_FILENO);
+  (void)dup2 (saved, STDOUT_FILENO);
   close (saved);
   close (fd);
   line = json_load_file (path, JSON_REJECT_DUPLICATES, NULL); /* refuses a second line */
@@ -119,6 +119,49 @@
 }
 END_TEST
 
+/* A reader that is behind holds nobody up; once it reads again it learns how many lines it missed.
+ */
+START_TEST (test_log_never_blocks)
+{
+  enum
+  {
+    N_LINES = 2000, /* far more than a pipe holds */
+    PIPE_BYTES = 1 << 16,
+  };
+  char *text = g_malloc0 (2 * PIPE_BYTES);
+  int saved = dup (STDOUT_FILENO);
+  int ends[2];
+  uint64_t dropped;
+
+  lc_log_init (LC_LOG_INFO, "lychee-test", "vm-1");
+  ck_assert_int_eq (pipe (ends), 0);
+  (void)fflush (stdout);
+  (void)dup2 (ends[1], STDOUT_FILENO);
+  for (int i = 0; i < N_LINES; i++)
+    LC_INFO ("test.event", "i", LC_I64 (i));
+  dropped = lc_log_dropped_total ();
+  ck_assert_int_gt (read (ends[0], text, PIPE_BYTES), 0);
+  LC_INFO ("test.after");
+  (void)dup2 (saved, STDOUT_FILENO);
+  close (saved);
+  close (ends[1]);
+  memset (text, 0, (size_t)2 * PIPE_BYTES);
+  for (size_t at = 0; at < (size_t)2 * PIPE_BYTES - 1;)
+    {
+      ssize_t n = read (ends[0], text + at, (size_t)2 * PIPE_BYTES - 1 - at);
+
+      if (n <= 0)
+        break;
+      at += (size_t)n;
+    }
+  close (ends[0]);
+  ck_assert_uint_gt (dropped, 0);
+  ck_assert_ptr_nonnull (strstr (text, "log.dropped"));
+  ck_assert_ptr_nonnull (strstr (text, "test.after"));
+  g_free (text);
+}
+END_TEST
+
 START_TEST (test_log_limit)
 {
   LcLogLimit limit = { 0 };
@@ -233,6 +276,7 @@
   tcase_add_test (tcase, test_metrics_text);
   tcase_add_loop_test (tcase, test_histogram, 0, G_N_ELEMENTS (BUCKETS));
   tcase_add_loop_test (tcase, test_log_line, 0, G_N_ELEMENTS (TEXTS));
+  tcase_add_test (tcase, test_log_never_blocks);
   tcase_add_test (tcase, test_log_limit);
   tcase_add_loop_test (tcase, test_admin, 0, G_N_ELEMENTS (REQUESTS));
   suite_add_tcase (suite, tcase);
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -125,7 +125,7 @@
                     self.assertEqual(result.returncode, 2, result.stderr)
                     for part in (file, path, "remedy: "):
                         self.assertIn(part, result.stderr)
-                    self.assertNotIn("app.started", result.stderr)
+                    self.assertNotIn("app.started", result.stdout)
 
     def test_duplicate_name(self):
         for name in DAEMONS:
@@ -144,17 +144,52 @@
                 file = os.path.join(folder, "settings.json")
                 with open(file, "w", encoding="utf-8") as out:
                     json.dump(settings(name, folder) | {"drain_limit_ms": 2000}, out)
-                with subprocess.Popen([PROGRAMS[name], "--settings", file], stderr=subprocess.PIPE, text=True) as p:
-                    events = [json.loads(p.stderr.readline())["event"]]
+                with subprocess.Popen([PROGRAMS[name], "--settings", file], stdout=subprocess.PIPE, text=True) as p:
+                    events = [json.loads(p.stdout.readline())["event"]]
                     while events[-1] != "app.started":
-                        events.append(json.loads(p.stderr.readline())["event"])
+                        events.append(json.loads(p.stdout.readline())["event"])
                     p.send_signal(signal.SIGTERM)
-                    _, rest = p.communicate(timeout=LIVENESS_S)
+                    rest, _ = p.communicate(timeout=LIVENESS_S)
                     lines = [json.loads(line) for line in rest.splitlines()]
                 self.assertEqual(p.returncode, 0, rest)
                 self.assertIn("app.draining", [line["event"] for line in lines])
                 self.assertTrue(all(line["program"] == name for line in lines))
 
 
+class Reload(unittest.TestCase):
+    def wait_for(self, p, *wanted):
+        for line in p.stdout:
+            event = json.loads(line)["event"]
+            if event in wanted:
+                return event
+        return None
+
+    def test_reload_is_whole_or_refused(self):
+        for name in DAEMONS:
+            with self.subTest(program=name), tempfile.TemporaryDirectory() as folder:
+                file = os.path.join(folder, "settings.json")
+                good = settings(name, folder) | {"drain_limit_ms": 2000}
+
+                def write(text):
+                    with open(file + ".new", "w", encoding="utf-8") as out:
+                        out.write(text)
+                    os.replace(file + ".new", file)
+
+                write(json.dumps(good))
+                with subprocess.Popen([PROGRAMS[name], "--settings", file], stdout=subprocess.PIPE, text=True) as p:
+                    told = ("app.reloaded", "app.reload-refused")
+                    self.wait_for(p, "app.started")
+                    p.send_signal(signal.SIGHUP)
+                    self.assertEqual(self.wait_for(p, *told), "app.reloaded")
+                    write('{"name": 5}')
+                    p.send_signal(signal.SIGHUP)
+                    self.assertEqual(self.wait_for(p, *told), "app.reload-refused")
+                    write(json.dumps(good | {"drain_limit_ms": 3000}))  # and no signal
+                    self.assertEqual(self.wait_for(p, *told), "app.reloaded")
+                    p.send_signal(signal.SIGTERM)
+                    p.communicate(timeout=LIVENESS_S)
+                self.assertEqual(p.returncode, 0)
+
+
 if __name__ == "__main__":
     unittest.main(argv=sys.argv[:1])
