Control: a member that greets is reached back at once; a blank one at a member's address counts as its end

The third VM's greeting could not be answered: the others' links to it waited for their next attempt (connects to a VM whose process has not begun hang), and a wiped member can't say that it is fresh. Ruled out: a majority of fresh voters (a leader may live among the others).

--- a/src/control/lc-replica-form.c
+++ b/src/control/lc-replica-form.c
@@ -168,6 +168,27 @@
 
 /* === hello ================================================================================== */
 
+/* Somebody who greets is there: a link to it that waits for its next attempt is tried now.  One's
+ * own link is the only way to answer it, and after a start of all each wait costs recovery time. */
+static void
+lc_replica__reach_back (LcReplica *replica, uint32_t ipv4, uint16_t port)
+{
+  LcReplicaPeer *peer = lc_replica__peer (replica, ipv4, port);
+
+  if (peer != NULL && lc_link_client_link (&peer->client) == NULL)
+    lc_link_client_retarget (&peer->client, ipv4, port);
+}
+
+static bool
+lc_replica__is_member_at (const LcReplica *replica, uint32_t ipv4, uint16_t port)
+{
+  for (uint32_t i = 0; i < replica->raft.config.n_members; i++)
+    if (replica->raft.config.members[i].ipv4 == ipv4 &&
+        replica->raft.config.members[i].peer_port == port)
+      return true;
+  return false;
+}
+
 /* A blank replica that greets is greeted back, so that it is known where it stands by. */
 void
 lc_replica__on_hello (LcReplica *replica, LcLink *link, const LcFrame *frame)
@@ -180,9 +201,9 @@
       lc_metric_add (replica->metrics.malformed_total, 1);
       return;
     }
-  if (m->cluster == 0 && m->replica != replica->id && m->ipv4 != 0 && m->port != 0 &&
-      m->port <= UINT16_MAX)
-    (void)lc_replica__peer (replica, m->ipv4, (uint16_t)m->port);
+  if (m->replica != replica->id && m->ipv4 != 0 && m->port != 0 && m->port <= UINT16_MAX &&
+      (m->cluster == 0 || lc_replica__is_member_at (replica, m->ipv4, (uint16_t)m->port)))
+    lc_replica__reach_back (replica, m->ipv4, (uint16_t)m->port);
   lc__wire__control_hello__free_unpacked (m, NULL);
   lc_replica__answer_hello (replica, link);
 }
@@ -203,6 +224,18 @@
   g_bytes_unref (initial);
 }
 
+/* A blank replica at a member's address: that member's folder is gone, and it with it. */
+static void
+lc_replica__note_successor (LcReplica *replica, const LcReplicaPeer *peer)
+{
+  const LcRaftConfig *config = &replica->raft.config;
+
+  for (uint32_t i = 0; replica->is_formed && peer->cluster == 0 && i < config->n_members; i++)
+    if (config->members[i].ipv4 == peer->ipv4 && config->members[i].peer_port == peer->port &&
+        config->members[i].id != peer->id)
+      lc_raft_note_ended (&replica->raft, config->members[i].id);
+}
+
 void
 lc_replica__on_hello_reply (LcReplica *replica, LcLink *link, const LcFrame *frame)
 {
@@ -221,6 +254,7 @@
       peer->initial = initial;
       peer->heard_us = lc_replica__now_us ();
       (void)g_strlcpy (peer->name, m->name, sizeof peer->name);
+      lc_replica__note_successor (replica, peer);
     }
   if (m != NULL)
     lc__wire__control_hello_reply__free_unpacked (m, NULL);
--- a/src/core/control/lc-raft-elect.c
+++ b/src/core/control/lc-raft-elect.c
@@ -183,6 +183,36 @@
   raft->fresh_clock_us = raft->clock_us + lc_raft__fresh_wait_us (raft, 0);
 }
 
+static void
+lc_raft__count_fresh (LcRaft *raft, LcReplicaId voter)
+{
+  for (uint32_t i = 0; i < raft->n_votes; i++)
+    if (raft->votes[i] == voter)
+      return;
+  if (lc_raft_config_is_voter (&raft->config, voter) && raft->n_votes < LC_RAFT_MEMBERS_MAX)
+    raft->votes[raft->n_votes++] = voter;
+}
+
+/* Stands when every voter has said that it is fresh, or has ended. */
+static void
+lc_raft__stand_if_all_fresh (LcRaft *raft)
+{
+  for (uint32_t i = 0; i < raft->n_ended; i++)
+    lc_raft__count_fresh (raft, raft->ended[i]);
+  if (raft->n_votes == lc_raft_config_n_voters (&raft->config))
+    lc_raft__become_candidate (raft, LC_RAFT_VOTE_FRESH);
+}
+
+void
+lc_raft_note_ended (LcRaft *raft, LcReplicaId id)
+{
+  for (uint32_t i = 0; i < raft->n_ended; i++)
+    if (raft->ended[i] == id)
+      return;
+  if (id != raft->desc.id && raft->n_ended < LC_RAFT_MEMBERS_MAX)
+    raft->ended[raft->n_ended++] = id;
+}
+
 void
 lc_raft__fresh_tick (LcRaft *raft)
 {
@@ -201,16 +231,10 @@
 lc_raft__on_fresh_reply (LcRaft *raft, const LcRaftMessage *m)
 {
   if (!raft->is_fresh || raft->role != LC_RAFT_FOLLOWER || m->term != raft->term + 1 ||
-      !m->vote_reply.is_granted || !lc_raft_config_is_voter (&raft->config, m->from))
+      !m->vote_reply.is_granted)
     return;
-  for (uint32_t i = 0; i < raft->n_votes; i++)
-    if (raft->votes[i] == m->from)
-      return;
-  if (raft->n_votes == LC_RAFT_MEMBERS_MAX)
-    return;
-  raft->votes[raft->n_votes++] = m->from;
-  if (raft->n_votes == lc_raft_config_n_voters (&raft->config))
-    lc_raft__become_candidate (raft, LC_RAFT_VOTE_FRESH);
+  lc_raft__count_fresh (raft, m->from);
+  lc_raft__stand_if_all_fresh (raft);
 }
 
 /* === votes ========================================================================= */
--- a/src/core/control/lc-raft.h
+++ b/src/core/control/lc-raft.h
@@ -148,6 +148,8 @@
     int64_t clock_us; /* see CLOCKS */
     int64_t election_clock_us;
     int64_t heard_leader_clock_us;
+    LcReplicaId ended[LC_RAFT_MEMBERS_MAX]; /* members that will never speak again */
+    uint32_t n_ended;
     bool is_fresh;            /* no leader heard since the start, which was less than the shortest
                                  election timeout ago */
     int64_t fresh_clock_us;   /* when to ask next whether all voters are fresh */
@@ -185,6 +187,9 @@
   /* A leader asks the most advanced voter to take over; a planned stop. */
   void lc_raft_transfer (LcRaft *raft, int64_t now_us);
   /* While its disk takes no writes a replica gives up leadership and doesn't stand. */
+  /* A member has ended for good: a blank replica speaks from its address.  It leads nobody, so a
+   * start of all need not ask it (lc-raft-elect.c). */
+  void lc_raft_note_ended (LcRaft *raft, LcReplicaId id);
   void lc_raft_suspend (LcRaft *raft, bool is_suspended, int64_t now_us);
 
   /* Outputs. */
--- a/tests/control/test-raft.c
+++ b/tests/control/test-raft.c
@@ -443,15 +443,18 @@
 {
   const char *what;
   LcReplicaId grants[2]; /* who says that it is fresh, too */
+  LcReplicaId ended;     /* a member whose folder is gone; 0: none */
   bool hears_leader;     /* before the last of them answers */
   int64_t answers_us;    /* after the start */
   bool stands;
 } FRESH[] = {
-  { "all are fresh", { PEER, THIRD }, false, 50000, true },
-  { "one does not answer", { PEER, 0 }, false, 50000, false },
-  { "one answers twice", { PEER, PEER }, false, 50000, false },
-  { "a leader was heard", { PEER, THIRD }, true, 50000, false },
-  { "the answers come when it is fresh no more", { PEER, THIRD }, false, 600000, false },
+  { "all are fresh", { PEER, THIRD }, 0, false, 50000, true },
+  { "one does not answer", { PEER, 0 }, 0, false, 50000, false },
+  { "one does not answer, since it has ended", { PEER, 0 }, THIRD, false, 50000, true },
+  { "one has ended, the other does not answer", { 0, 0 }, THIRD, false, 50000, false },
+  { "one answers twice", { PEER, PEER }, 0, false, 50000, false },
+  { "a leader was heard", { PEER, THIRD }, 0, true, 50000, false },
+  { "the answers come when it is fresh no more", { PEER, THIRD }, 0, false, 600000, false },
 };
 
 START_TEST (test_all_fresh)
@@ -459,6 +462,8 @@
   Replica r;
 
   start (&r, 4, NULL, 0);
+  if (FRESH[_i].ended != 0)
+    lc_raft_note_ended (&r.raft, FRESH[_i].ended);
   pass (&r, FRESH[_i].answers_us);
   for (int i = 0; i < 2 && FRESH[_i].grants[i] != 0; i++)
     {
