--- a/src/agent/lc-agent-settings.c
+++ b/src/agent/lc-agent-settings.c
@@ -1,6 +1,7 @@
 #include "lc-agent-settings.h"
 
 #include "io/lc-packet-format.h"
+#include "io/lc-settings-common.h"
 
 #include <glib.h>
 
@@ -9,29 +10,15 @@
 static const char *const LC_AGENT_DELIVERIES[] = { "relay", "inject", "datagram", NULL };
 
 static const LcSettingsField LC_AGENT_FIELDS[] = {
-  { .path = "name",
-    .kind = LC_SETTING_STRING,
-    FIELD (name),
-    .size = LC_NAME_MAX,
-    .is_required = true,
-    .help = "unique name of this endpoint" },
-  { .path = "data_centre",
-    .kind = LC_SETTING_STRING,
-    FIELD (data_centre),
-    .size = LC_NAME_MAX,
-    .is_required = true,
-    .help = "name of the data centre it stands in" },
+  LC_SETTING_ROW_NAME (LcAgentSettings, "unique name of this endpoint"),
+  LC_SETTING_ROW_DATA_CENTRE (LcAgentSettings),
   { .path = "service",
     .kind = LC_SETTING_STRING,
     FIELD (service),
     .size = LC_NAME_MAX,
     .is_required = true,
     .help = "name of the service that its backend server serves" },
-  { .path = "address",
-    .kind = LC_SETTING_IPV4,
-    FIELD (ipv4),
-    .is_required = true,
-    .help = "IPv4 address of this VM" },
+  LC_SETTING_ROW_ADDRESS (LcAgentSettings),
   { .path = "peer_port",
     .kind = LC_SETTING_PORT,
     FIELD (peer_port),
@@ -159,24 +146,8 @@
     .default_u64 = 7200000,
     .unit = "ms",
     .help = "a TCP flow with no packet for this long has ended" },
-  { .path = "reconnect_max_ms",
-    .kind = LC_SETTING_U32,
-    FIELD (reconnect_max_ms),
-    .min = 10,
-    .max = 60000,
-    .default_u64 = 2000,
-    .unit = "ms",
-    .help =
-        "longest wait between attempts to reach an upstream; less finds it sooner, at the price "
-        "of more attempts by everybody while it is away" },
-  { .path = "connect_timeout_ms",
-    .kind = LC_SETTING_U32,
-    FIELD (connect_timeout_ms),
-    .min = 10,
-    .max = 60000,
-    .default_u64 = 1000,
-    .unit = "ms",
-    .help = "an attempt to connect to another process is given up after this" },
+  LC_SETTING_ROW_RECONNECT_MAX (LcAgentSettings),
+  LC_SETTING_ROW_CONNECT_TIMEOUT (LcAgentSettings),
   { .path = "drain_limit_ms",
     .kind = LC_SETTING_U32,
     FIELD (drain_limit_ms),
--- a/src/balancer/lc-balancer-settings.c
+++ b/src/balancer/lc-balancer-settings.c
@@ -1,29 +1,16 @@
 #include "lc-balancer-settings.h"
 
 #include "io/lc-packet-format.h"
+#include "io/lc-settings-common.h"
 
 #include <glib.h>
 
 #define FIELD(member) .offset = offsetof (LcBalancerSettings, member)
 
 static const LcSettingsField LC_BALANCER_FIELDS[] = {
-  { .path = "name",
-    .kind = LC_SETTING_STRING,
-    FIELD (name),
-    .size = LC_NAME_MAX,
-    .is_required = true,
-    .help = "unique name of this balancer" },
-  { .path = "data_centre",
-    .kind = LC_SETTING_STRING,
-    FIELD (data_centre),
-    .size = LC_NAME_MAX,
-    .is_required = true,
-    .help = "name of the data centre it stands in" },
-  { .path = "address",
-    .kind = LC_SETTING_IPV4,
-    FIELD (ipv4),
-    .is_required = true,
-    .help = "IPv4 address of this VM" },
+  LC_SETTING_ROW_NAME (LcBalancerSettings, "unique name of this balancer"),
+  LC_SETTING_ROW_DATA_CENTRE (LcBalancerSettings),
+  LC_SETTING_ROW_ADDRESS (LcBalancerSettings),
   { .path = "peer_port",
     .kind = LC_SETTING_PORT,
     FIELD (peer_port),
@@ -70,24 +57,8 @@
     .choices = LC_PACKET_FORMAT_NAMES,
     .default_u64 = LC_PACKET_IPV4,
     .help = "packets of callers: raw IPv4, or a head whose flows the backend server answers for" },
-  { .path = "reconnect_max_ms",
-    .kind = LC_SETTING_U32,
-    FIELD (reconnect_max_ms),
-    .min = 10,
-    .max = 60000,
-    .default_u64 = 2000,
-    .unit = "ms",
-    .help =
-        "longest wait between attempts to reach an upstream; less finds it sooner, at the price "
-        "of more attempts by everybody while it is away" },
-  { .path = "connect_timeout_ms",
-    .kind = LC_SETTING_U32,
-    FIELD (connect_timeout_ms),
-    .min = 10,
-    .max = 60000,
-    .default_u64 = 1000,
-    .unit = "ms",
-    .help = "an attempt to connect to another process is given up after this" },
+  LC_SETTING_ROW_RECONNECT_MAX (LcBalancerSettings),
+  LC_SETTING_ROW_CONNECT_TIMEOUT (LcBalancerSettings),
   { .path = "drain_limit_ms",
     .kind = LC_SETTING_U32,
     FIELD (drain_limit_ms),
--- a/src/control/lc-control-settings.c
+++ b/src/control/lc-control-settings.c
@@ -1,27 +1,15 @@
 #include "lc-control-settings.h"
 
+#include "io/lc-settings-common.h"
+
 #include <glib.h>
 
 #define FIELD(member) .offset = offsetof (LcControlSettings, member)
 
 static const LcSettingsField LC_CONTROL_FIELDS[] = {
-  { .path = "name",
-    .kind = LC_SETTING_STRING,
-    FIELD (name),
-    .size = LC_NAME_MAX,
-    .is_required = true,
-    .help = "unique name of this control VM" },
-  { .path = "data_centre",
-    .kind = LC_SETTING_STRING,
-    FIELD (data_centre),
-    .size = LC_NAME_MAX,
-    .is_required = true,
-    .help = "name of the data centre it stands in" },
-  { .path = "address",
-    .kind = LC_SETTING_IPV4,
-    FIELD (ipv4),
-    .is_required = true,
-    .help = "IPv4 address of this VM" },
+  LC_SETTING_ROW_NAME (LcControlSettings, "unique name of this control VM"),
+  LC_SETTING_ROW_DATA_CENTRE (LcControlSettings),
+  LC_SETTING_ROW_ADDRESS (LcControlSettings),
   { .path = "peer_port",
     .kind = LC_SETTING_PORT,
     FIELD (peer_port),
@@ -130,14 +118,7 @@
     .default_u64 = 3000,
     .unit = "ms",
     .help = "a balancer not heard for this long is lost" },
-  { .path = "connect_timeout_ms",
-    .kind = LC_SETTING_U32,
-    FIELD (connect_timeout_ms),
-    .min = 10,
-    .max = 60000,
-    .default_u64 = 1000,
-    .unit = "ms",
-    .help = "an attempt to connect to another process is given up after this" },
+  LC_SETTING_ROW_CONNECT_TIMEOUT (LcControlSettings),
   { .path = "drain_limit_ms",
     .kind = LC_SETTING_U32,
     FIELD (drain_limit_ms),
--- a/src/controller/lc-member-serve.c
+++ b/src/controller/lc-member-serve.c
@@ -429,23 +429,9 @@
 {
   LcError error = { .message = "the payload does not unpack",
                     .remedy = "run the same version on both sides" };
-  const ProtobufCMessageDescriptor *descriptor = NULL;
-  ProtobufCMessage *message;
+  ProtobufCMessage *message = lc_wire_member_unpack_up (frame, true);
   int64_t now_us = lc_clock_now_us ();
 
-  if (frame->type == LC_FRAME_MEMBER_HELLO)
-    descriptor = &lc__wire__member_hello__descriptor;
-  else if (frame->type == LC_FRAME_MEMBER_RENEW)
-    descriptor = &lc__wire__member_renew__descriptor;
-  else if (frame->type == LC_FRAME_MEMBER_SUBSCRIBE)
-    descriptor = &lc__wire__member_subscribe__descriptor;
-  else if (frame->type == LC_FRAME_MEMBER_REPORT)
-    descriptor = &lc__wire__member_report__descriptor;
-  else if (frame->type == LC_FRAME_MEMBER_LEASE_QUERY)
-    descriptor = &lc__wire__lease_query__descriptor;
-  message = descriptor != NULL
-                ? protobuf_c_message_unpack (descriptor, NULL, frame->payload_len, frame->payload)
-                : NULL;
   if (message == NULL)
     {
       lc_member_note_malformed (member, "membership", &error);
--- a/src/core/control/lc-control-declare.c
+++ b/src/core/control/lc-control-declare.c
@@ -1,4 +1,5 @@
 #include "lc-control-plan-private.h"
+#include "lc-control-private.h"
 
 #include <string.h>
 
@@ -86,8 +87,8 @@
   return false;
 }
 
-static int
-lc_plan__compare_addresses (gconstpointer a, gconstpointer b)
+int
+lc_control__compare_addresses (gconstpointer a, gconstpointer b)
 {
   const LcAddress *x = a;
   const LcAddress *y = b;
@@ -167,7 +168,7 @@
 {
   GArray *known = lc_plan__list_of (work->addresses_of, id, sizeof (LcAddress));
 
-  g_array_sort (known, lc_plan__compare_addresses);
+  g_array_sort (known, lc_control__compare_addresses);
   for (guint i = 0; i < known->len; i++)
     {
       const LcAddress *a = &g_array_index (known, LcAddress, i);
--- a/src/core/control/lc-control-numbered.c
+++ b/src/core/control/lc-control-numbered.c
@@ -56,17 +56,6 @@
 
 /* === private: what is not wanted any more =================================================== */
 
-static int
-lc_control__compare_addresses (gconstpointer a, gconstpointer b)
-{
-  const LcAddress *x = a;
-  const LcAddress *y = b;
-
-  if (x->ipv4 != y->ipv4)
-    return x->ipv4 < y->ipv4 ? -1 : 1;
-  return x->port != y->port ? (int)x->port - (int)y->port : (int)x->protocol - (int)y->protocol;
-}
-
 /* In the same order on every replica: a hash table has none. */
 static void
 lc_control__drop_addresses (LcControlState *state, LcRevision revision, GHashTable *wanted)
--- a/src/core/control/lc-control-private.h
+++ b/src/core/control/lc-control-private.h
@@ -12,6 +12,8 @@
 /* lc-control-member.c */
 void lc_control__member (LcControlState *state, LcRevision revision, const LcMemberChange *change);
 
+/* lc-control-declare.c: orders LcAddress, the same on every replica. */
+int lc_control__compare_addresses (gconstpointer a, gconstpointer b);
 /* lc-control-numbered.c: false when the number is not above the one that is held. */
 bool lc_control__declare_numbered (LcControlState *state,
                                    LcRevision revision,
--- a/src/core/flow/lc-flow-balancer.c
+++ b/src/core/flow/lc-flow-balancer.c
@@ -72,13 +72,9 @@
   return entry->sets;
 }
 
-/* Most packets: one set, whose homes are the whole list. */
 static bool
-lc_envelope__fill_settled (LcEnvelope *e, const LcCandidateSets *sets, uint64_t key_hash)
+lc_envelope__put_homes (LcEnvelope *e, const LcSetMember *const *homes, uint32_t n)
 {
-  const LcSetMember *homes[LC_HOMES];
-  uint32_t n = lc_candidates_homes (sets, 0, key_hash, homes);
-
   for (uint32_t i = 0; i < n; i++)
     e->candidates[i] = homes[i]->candidate;
   e->n = (uint8_t)n;
@@ -87,6 +83,16 @@
   return n > 0;
 }
 
+/* Most packets: one set, whose homes are the whole list. */
+static bool
+lc_envelope__fill_settled (LcEnvelope *e, const LcCandidateSets *sets, uint64_t key_hash)
+{
+  const LcSetMember *homes[LC_HOMES];
+  uint32_t n = lc_candidates_homes (sets, 0, key_hash, homes);
+
+  return lc_envelope__put_homes (e, homes, n);
+}
+
 static bool
 lc_envelope__fill_unsettled (LcEnvelope *e, const LcCandidateSets *sets, uint64_t key_hash)
 {
@@ -100,18 +106,14 @@
   return list.n > 0;
 }
 
+/* The homes in the data centre, where agents find owners without a settled list. */
 static bool
 lc_envelope__fill_near (LcEnvelope *e, const LcCandidateSets *sets, uint64_t key_hash, LcDcId dc)
 {
   const LcSetMember *homes[LC_HOMES];
   uint32_t n = lc_candidates_near_homes (sets, key_hash, dc, homes);
 
-  for (uint32_t i = 0; i < n; i++)
-    e->candidates[i] = homes[i]->candidate;
-  e->n = (uint8_t)n;
-  e->assigner = 0;
-  e->set_rank = UINT64_MAX;
-  return n > 0;
+  return lc_envelope__put_homes (e, homes, n);
 }
 
 static bool
--- a/src/io/lc-wire-member.c
+++ b/src/io/lc-wire-member.c
@@ -1,5 +1,6 @@
 #include "lc-wire-member.h"
 
+#include "lc-member-frames.h"
 #include "lc-wire-view.h"
 
 #include <string.h>
@@ -141,3 +142,31 @@
   r = lc_wire_member__copy (scope->service, message->service, error);
   return r < 0 ? r : lc_wire_member__copy (scope->data_centre, message->data_centre, error);
 }
+
+static const ProtobufCMessageDescriptor *
+lc_wire_member__descriptor (uint16_t type, bool takes_queries)
+{
+  switch (type)
+    {
+    case LC_FRAME_MEMBER_HELLO:
+      return &lc__wire__member_hello__descriptor;
+    case LC_FRAME_MEMBER_RENEW:
+      return &lc__wire__member_renew__descriptor;
+    case LC_FRAME_MEMBER_SUBSCRIBE:
+      return &lc__wire__member_subscribe__descriptor;
+    case LC_FRAME_MEMBER_REPORT:
+      return &lc__wire__member_report__descriptor;
+    case LC_FRAME_MEMBER_LEASE_QUERY:
+      return takes_queries ? &lc__wire__lease_query__descriptor : NULL;
+    default:
+      return NULL;
+    }
+}
+
+ProtobufCMessage *
+lc_wire_member_unpack_up (const LcFrame *frame, bool takes_queries)
+{
+  const ProtobufCMessageDescriptor *d = lc_wire_member__descriptor (frame->type, takes_queries);
+
+  return d != NULL ? protobuf_c_message_unpack (d, NULL, frame->payload_len, frame->payload) : NULL;
+}
--- a/src/io/lc-wire-member.h
+++ b/src/io/lc-wire-member.h
@@ -15,6 +15,7 @@
 #include "core/member/lc-ack-fold.h"
 #include "core/member/lc-member-change.h"
 #include "core/member/lc-scope.h"
+#include "lc-frame.h"
 #include "proto/lc-member.pb-c.h"
 
 typedef struct
@@ -41,4 +42,9 @@
                                const Lc__Wire__MemberSubscribe *message,
                                LcError *error);
 
+/* What a member sends up: hello, renewal, subscription or report, and where `takes_queries` is set
+ * the lease query of another watcher.  NULL: another type, or a payload that does not unpack.  Free
+ * it with protobuf_c_message_free_unpacked. */
+ProtobufCMessage *lc_wire_member_unpack_up (const LcFrame *frame, bool takes_queries);
+
 #endif /* LC_WIRE_MEMBER_H */
--- /dev/null
+++ b/tests/flow/prop-flow-return.cc
@@ -0,0 +1,151 @@
+/* Event orders of steering where backend servers return what they do not hold, searched by
+ * RapidCheck: agents restart, endpoints join, leave and are lost, and views lag behind each other.
+ */
+#include "return-world.h"
+
+#include <rapidcheck.h>
+
+#include <vector>
+
+namespace
+{
+
+enum Kind
+{
+  OPEN,
+  DATA,
+  RESTART,
+  JOIN,
+  LEAVE,
+  LOSE,
+  FIND,
+  SHOW_AGENT,
+  SHOW_BALANCER,
+  SETTLE,
+  N_KINDS
+};
+
+/* So few that events often meet at one. */
+const uint32_t FEW_FLOWS = 3;
+
+struct Step
+{
+  int kind;
+  uint32_t subject;
+};
+
+void
+showValue (const Step &s, std::ostream &os)
+{
+  os << "{kind " << s.kind << ", subject " << s.subject << "}";
+}
+
+rc::Gen<std::vector<Step> >
+steps ()
+{
+  return rc::gen::container<std::vector<Step> > (
+      rc::gen::build<Step> (rc::gen::set (&Step::kind, rc::gen::inRange<int> (0, N_KINDS)),
+                            rc::gen::set (&Step::subject, rc::gen::inRange<uint32_t> (0, 1000))));
+}
+
+uint32_t
+delivered (const RwWorld &w)
+{
+  uint32_t n = 0;
+
+  for (const RwNode &node : w.nodes)
+    n += node.n_delivered;
+  return n;
+}
+
+/* A packet of a flow that a backend server holds reaches it, whatever anybody knows.  Copies of a
+ * first packet may have been accepted twice: then it reaches at least one that holds it. */
+void
+send_data (RwWorld &w, uint32_t flow)
+{
+  LcPacket p = rw_packet_of (flow, false);
+  uint32_t before = delivered (w);
+
+  if (rw_n_held (&w, flow) == 0)
+    return;
+  if (rw_send (&w, &p) == 0)
+    RC_ASSERT (delivered (w) > before);
+}
+
+void
+open_flow (RwWorld &w, uint32_t flow)
+{
+  LcPacket p = rw_packet_of (flow, true);
+
+  if (rw_n_held (&w, flow) == 0)
+    (void)rw_send (&w, &p);
+}
+
+void
+carry_out (RwWorld &w, const Step &s)
+{
+  uint32_t flow = s.subject % FEW_FLOWS;
+  int node = (int)(s.subject % RW_N_AGENTS);
+
+  switch (s.kind)
+    {
+    case OPEN:
+      open_flow (w, flow);
+      break;
+    case DATA:
+      send_data (w, flow);
+      break;
+    case RESTART:
+      rw_restart_agent (&w, node);
+      break;
+    case JOIN:
+      rw_put_endpoint (&w, node, LC_ENDPOINT_ACTIVE);
+      break;
+    case LEAVE:
+      rw_put_endpoint (&w, node, LC_ENDPOINT_DRAINING);
+      break;
+    case LOSE:
+      rw_put_endpoint (&w, node, LC_ENDPOINT_LOST);
+      break;
+    case FIND:
+      rw_put_endpoint (&w, node, LC_ENDPOINT_ACTIVE);
+      rw_show_view (&w);
+      break;
+    case SHOW_AGENT:
+      rw_show_agent (&w, node);
+      break;
+    case SHOW_BALANCER:
+      rw_show_balancer (&w);
+      break;
+    default:
+      rw_settle (&w);
+      break;
+    }
+}
+
+} // namespace
+
+int
+main ()
+{
+  bool ok = true;
+
+  ok &= rc::check ("a held flow is found, and never reset, whatever happened", [] {
+    const auto order = *steps ();
+    RwWorld w;
+
+    rw_start (&w, 3);
+    for (const Step &s : order)
+      {
+        carry_out (w, s);
+        (void)rw_take_resets (&w); /* asserts that nobody holds the flow of a reset */
+      }
+    rw_show_view (&w);
+    rw_settle (&w);
+    for (uint32_t f = 0; f < FEW_FLOWS; f++)
+      send_data (w, f);
+    RC_ASSERT (rw_take_resets (&w) == 0U);
+    rw_stop (&w);
+  });
+  return ok ? 0 : 1;
+}
--- /dev/null
+++ b/tests/flow/return-world.c
@@ -0,0 +1,337 @@
+#include "return-world.h"
+
+#include <string.h>
+
+LcPacket
+rw_packet_of (uint32_t flow, bool may_open)
+{
+  LcPacket p = { .may_open = may_open, .total_len = 34 };
+
+  p.key.source_ipv4 = 0x64400000 + flow;
+  p.key.target_ipv4 = 0xc6120001;
+  p.key.source_port = (uint16_t)(1000 + flow);
+  p.key.target_port = 443;
+  p.key.protocol = LC_PROTOCOL_TCP;
+  return p;
+}
+
+uint32_t
+rw_flow_of (const LcPacket *p)
+{
+  return p->key.source_ipv4 - 0x64400000;
+}
+
+/* === the view =============================================================================== */
+
+static void
+rw_apply (RwWorld *w, LcViewOp *op)
+{
+  op->revision = ++w->revision;
+  g_assert (lc_view_apply (&w->view, op, NULL) == 0);
+}
+
+void
+rw_put_endpoint (RwWorld *w, int i, LcEndpointState state)
+{
+  LcViewOp op = { .kind = LC_VIEW_ENDPOINT };
+
+  op.endpoint.id = (LcEndpointId)(i + 1);
+  op.endpoint.service_id = 1;
+  op.endpoint.instance = (LcInstance)(100 + i);
+  op.endpoint.state = (uint8_t)state;
+  op.endpoint.weight_percent = 100;
+  op.endpoint.ipv4 = (uint32_t)i;
+  op.endpoint.flow_port = 7100;
+  op.endpoint.connection_limit = 2000;
+  (void)g_snprintf (op.endpoint.name, sizeof op.endpoint.name, "e%d", i);
+  rw_apply (w, &op);
+}
+
+static void
+rw_copy_op (void *user, const LcViewOp *op)
+{
+  g_assert (lc_view_apply (user, op, NULL) == 0);
+}
+
+static void
+rw_copy_view (LcView *to, const LcView *from)
+{
+  lc_view_clear (to);
+  lc_view_snapshot (from, rw_copy_op, to);
+}
+
+void
+rw_show_agent (RwWorld *w, int i)
+{
+  rw_copy_view (&w->seen[i], &w->view);
+  if (w->nodes[i].is_up)
+    lc_flow_agent_set_view (&w->nodes[i].agent, &w->seen[i], w->now_us);
+}
+
+void
+rw_show_balancer (RwWorld *w)
+{
+  rw_copy_view (&w->balancer_view, &w->view);
+  lc_flow_balancer_set_view (&w->balancer, &w->balancer_view);
+}
+
+void
+rw_show_view (RwWorld *w)
+{
+  for (int i = 0; i < RW_N_AGENTS; i++)
+    rw_show_agent (w, i);
+  rw_show_balancer (w);
+}
+
+static void
+rw_start_agent (RwWorld *w, int i)
+{
+  LcFlowAgentDesc desc = { .self = { (LcEndpointId)(i + 1), (uint32_t)i, (LcInstance)(100 + i),
+                                     7100 },
+                           .service_id = 1,
+                           .is_returning = true };
+
+  lc_flow_agent_init (&w->nodes[i].agent, &desc, w->now_us);
+  w->nodes[i].is_up = true;
+  lc_flow_agent_set_view (&w->nodes[i].agent, &w->seen[i], w->now_us);
+}
+
+/* The process beside the backend server starts again; what that one holds stays. */
+void
+rw_restart_agent (RwWorld *w, int i)
+{
+  lc_flow_agent_finish (&w->nodes[i].agent);
+  rw_start_agent (w, i);
+}
+
+void
+rw_start (RwWorld *w, int n)
+{
+  LcViewOp service = { .kind = LC_VIEW_SERVICE, .service = { .id = 1, .name = "desk" } };
+  LcViewOp address = { .kind = LC_VIEW_ADDRESS };
+
+  memset (w, 0, sizeof *w);
+  lc_view_init (&w->view);
+  lc_view_init (&w->balancer_view);
+  for (int i = 0; i < RW_N_AGENTS; i++)
+    lc_view_init (&w->seen[i]);
+  rw_apply (w, &service);
+  address.address = (LcAddress){ 0xc6120001, 443, LC_PROTOCOL_TCP, 1 };
+  rw_apply (w, &address);
+  for (int i = 0; i < n; i++)
+    rw_put_endpoint (w, i, LC_ENDPOINT_ACTIVE);
+  lc_flow_balancer_init (&w->balancer, 0);
+  lc_flow_balancer_set_returning (&w->balancer, true);
+  for (int i = 0; i < RW_N_AGENTS; i++)
+    rw_start_agent (w, i);
+  rw_show_view (w);
+}
+
+void
+rw_stop (RwWorld *w)
+{
+  for (int i = 0; i < RW_N_AGENTS; i++)
+    {
+      lc_flow_agent_finish (&w->nodes[i].agent);
+      lc_view_finish (&w->seen[i]);
+    }
+  lc_view_finish (&w->balancer_view);
+  lc_flow_balancer_finish (&w->balancer);
+  lc_view_finish (&w->view);
+}
+
+uint32_t
+rw_n_held (const RwWorld *w, uint32_t flow)
+{
+  uint32_t n = 0;
+
+  for (int i = 0; i < RW_N_AGENTS; i++)
+    n += w->nodes[i].holds[flow];
+  return n;
+}
+
+/* === packets ================================================================================ */
+
+static void
+rw_act (RwWorld *w, int at, LcFlowAction *action, const LcEnvelope *e, const LcPacket *p);
+
+static void
+rw_answer (RwWorld *w, int at, const LcPacket *p)
+{
+  LcPacket out = { .total_len = 34, .is_accept = p->may_open };
+
+  out.key = p->key;
+  out.key.source_ipv4 = p->key.target_ipv4;
+  out.key.source_port = p->key.target_port;
+  out.key.target_ipv4 = p->key.source_ipv4;
+  out.key.target_port = p->key.source_port;
+  lc_flow_return_answered (&w->nodes[at].agent, &out, w->now_us);
+}
+
+static void
+rw_backend (RwWorld *w, int at, const LcPacket *p, uint32_t mark)
+{
+  RwNode *n = &w->nodes[at];
+  LcPacket back = *p;
+  LcEnvelope e;
+  LcFlowAction action;
+
+  if (n->is_dead)
+    return;
+  if (p->may_open && !n->is_full)
+    {
+      n->n_firsts++;
+      n->holds[rw_flow_of (p)] = true;
+    }
+  else if (!p->may_open && n->holds[rw_flow_of (p)])
+    n->n_delivered++;
+  else
+    {
+      back.is_returned = true;
+      back.mark = mark;
+      action = lc_flow_return_returned (&n->agent, &e, &back, w->now_us);
+      rw_act (w, at, &action, &e, p);
+      return;
+    }
+  rw_answer (w, at, p);
+}
+
+static void
+rw_arrive (RwWorld *w, int at, LcEnvelope e, const LcPacket *p)
+{
+  LcFlowAction action;
+
+  g_assert (w->n_steps++ < RW_MAX_STEPS);
+  if (!w->nodes[at].is_up)
+    return;
+  action = lc_flow_agent_packet (&w->nodes[at].agent, &e, p, w->now_us);
+  rw_act (w, at, &action, &e, p);
+}
+
+static void
+rw_search (RwWorld *w, int at, bool is_here, const LcPacket *p)
+{
+  LcCandidate others[LC_FLOW_SEARCH_MAX];
+  uint32_t n = lc_flow_return_others (&w->nodes[at].agent, lc_flow_key_hash (&p->key), others);
+
+  w->n_searches++;
+  for (uint32_t i = 0; i < n; i++)
+    {
+      LcEnvelope e;
+
+      lc_flow_return_search (&w->nodes[at].agent, &others[i], &e);
+      rw_arrive (w, (int)others[i].ipv4, e, p);
+    }
+  if (is_here)
+    rw_backend (w, at, p, w->nodes[at].agent.desc.self.id);
+}
+
+static void
+rw_act (RwWorld *w, int at, LcFlowAction *action, const LcEnvelope *e, const LcPacket *p)
+{
+  switch (action->kind)
+    {
+    case LC_FLOW_ACTION_DELIVER:
+      rw_backend (w, at, p, action->deliver.mark);
+      break;
+    case LC_FLOW_ACTION_TRY:
+      rw_backend (w, at, p, action->try_mark);
+      break;
+    case LC_FLOW_ACTION_SEND:
+      rw_arrive (w, (int)action->send.ipv4, *e, p);
+      break;
+    case LC_FLOW_ACTION_SEARCH:
+      rw_search (w, at, action->is_here, p);
+      break;
+    case LC_FLOW_ACTION_RESET:
+      w->n_resets++;
+      break;
+    case LC_FLOW_ACTION_DROP:
+      break;
+    }
+}
+
+/* Agents' messages, until there are none. */
+void
+rw_settle (RwWorld *w)
+{
+  LcFlowMessage m;
+  bool has_sent = true;
+
+  w->now_us += 300 * LC_US_PER_MS;
+  for (int i = 0; i < RW_N_AGENTS; i++)
+    if (w->nodes[i].is_up)
+      lc_flow_agent_tick (&w->nodes[i].agent, w->now_us);
+  while (has_sent)
+    {
+      has_sent = false;
+      for (int i = 0; i < RW_N_AGENTS; i++)
+        while (w->nodes[i].is_up && lc_flow_agent_next (&w->nodes[i].agent, &m, w->now_us))
+          {
+            has_sent = true;
+            if (w->nodes[m.to.ipv4].is_up)
+              lc_flow_agent_message (&w->nodes[m.to.ipv4].agent, &m, w->now_us);
+          }
+    }
+}
+
+uint32_t
+rw_take_resets (RwWorld *w)
+{
+  LcPacket p;
+  uint32_t n = 0;
+
+  for (int i = 0; i < RW_N_AGENTS; i++)
+    while (lc_flow_return_next_reset (&w->nodes[i].agent, &p))
+      {
+        g_assert (rw_n_held (w, rw_flow_of (&p)) == 0);
+        n++;
+      }
+  return n;
+}
+
+int
+rw_send (RwWorld *w, const LcPacket *p)
+{
+  LcEnvelope e;
+  LcCandidate to;
+  int r = lc_flow_balancer_steer (&w->balancer, p, &e, &to);
+
+  w->n_steps = 0;
+  if (r == 0)
+    rw_arrive (w, (int)to.ipv4, e, p);
+  return r;
+}
+
+void
+rw_open_flows (RwWorld *w)
+{
+  for (uint32_t f = 0; f < RW_N_FLOWS; f++)
+    {
+      LcPacket p = rw_packet_of (f, true);
+
+      g_assert (rw_send (w, &p) == 0);
+    }
+  rw_settle (w);
+}
+
+/* Each flow's packets reach the one backend server that holds it. */
+void
+rw_check_all_reach (RwWorld *w, const char *what)
+{
+  for (uint32_t f = 0; f < RW_N_FLOWS; f++)
+    {
+      LcPacket p = rw_packet_of (f, false);
+      uint32_t before = 0;
+      uint32_t after = 0;
+
+      g_assert (rw_n_held (w, f) == 1);
+      for (int i = 0; i < RW_N_AGENTS; i++)
+        before += w->nodes[i].n_delivered;
+      (void)rw_send (w, &p);
+      for (int i = 0; i < RW_N_AGENTS; i++)
+        after += w->nodes[i].n_delivered;
+      if (after != before + 1)
+        g_error ("%s: flow %u reached its owner %u times", what, f, after - before);
+    }
+}
--- /dev/null
+++ b/tests/flow/return-world.h
@@ -0,0 +1,76 @@
+/* return-world: a few agents with backend servers that return what they do not hold, joined by
+ * plain function calls: no clock, no socket.  Each agent and the balancer have views of their own,
+ * which lag until they are shown the newest.
+ */
+#ifndef RETURN_WORLD_H
+#define RETURN_WORLD_H
+
+#include "core/flow/lc-flow-balancer.h"
+#include "core/flow/lc-flow-return.h"
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  enum
+  {
+    RW_N_AGENTS = 5,
+    RW_N_FLOWS = 40,
+    RW_MAX_STEPS = 200, /* of one packet: every walk ends long before */
+  };
+
+  typedef struct
+  {
+    LcFlowAgent agent;
+    bool is_up;
+    bool is_dead;           /* its backend server says nothing */
+    bool is_full;           /* returns first packets */
+    bool holds[RW_N_FLOWS]; /* flows of its backend server */
+    uint32_t n_firsts;      /* first packets that its backend server took */
+    uint32_t n_delivered;   /* other packets that it held the flow of */
+  } RwNode;
+
+  typedef struct
+  {
+    LcView view;              /* the newest */
+    LcView seen[RW_N_AGENTS]; /* by each agent */
+    LcView balancer_view;
+    LcFlowBalancer balancer;
+    RwNode nodes[RW_N_AGENTS];
+    LcRevision revision;
+    int64_t now_us;
+    uint32_t n_steps;
+    uint32_t n_resets;
+    uint32_t n_searches;
+  } RwWorld;
+
+  /* A packet of a flow: its first one, or another. */
+  LcPacket rw_packet_of (uint32_t flow, bool may_open);
+  uint32_t rw_flow_of (const LcPacket *p);
+  void rw_put_endpoint (RwWorld *w, int i, LcEndpointState state);
+  void rw_show_agent (RwWorld *w, int i);
+  void rw_show_balancer (RwWorld *w);
+  /* Everybody sees the newest view. */
+  void rw_show_view (RwWorld *w);
+  /* The process beside the backend server starts again; what that one holds stays. */
+  void rw_restart_agent (RwWorld *w, int i);
+  /* `n` endpoints in the view, all agents running. */
+  void rw_start (RwWorld *w, int n);
+  void rw_stop (RwWorld *w);
+  uint32_t rw_n_held (const RwWorld *w, uint32_t flow);
+  /* Agents' messages, until there are none. */
+  void rw_settle (RwWorld *w);
+  /* Resets since the last call; each must be of a flow that nobody holds. */
+  uint32_t rw_take_resets (RwWorld *w);
+  /* From a caller through the balancer; 0, or why it went nowhere. */
+  int rw_send (RwWorld *w, const LcPacket *p);
+  void rw_open_flows (RwWorld *w);
+  /* Each flow's packets reach the one backend server that holds it. */
+  void rw_check_all_reach (RwWorld *w, const char *what);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif /* RETURN_WORLD_H */
--- a/tests/flow/test-flow-return.c
+++ b/tests/flow/test-flow-return.c
@@ -1,340 +1,9 @@
-/* Steering where backend servers return what they do not hold: a few agents with their backend
- * servers, joined by plain function calls, and tables of what happens to them. */
-#include "core/flow/lc-flow-balancer.h"
-#include "core/flow/lc-flow-return.h"
+/* Steering where backend servers return what they do not hold: tables of what happens. */
+#include "return-world.h"
 
 #include <check.h>
 #include <string.h>
 
-enum
-{
-  N_AGENTS = 5,
-  N_FLOWS = 40,
-  MAX_STEPS = 200, /* of one packet: every walk ends long before */
-};
-
-typedef struct
-{
-  LcFlowAgent agent;
-  bool is_up;
-  bool is_dead;         /* its backend server says nothing */
-  bool is_full;         /* returns first packets */
-  bool holds[N_FLOWS];  /* flows of its backend server */
-  uint32_t n_firsts;    /* first packets that its backend server took */
-  uint32_t n_delivered; /* other packets that it held the flow of */
-} Node;
-
-typedef struct
-{
-  LcView view;
-  LcFlowBalancer balancer;
-  Node nodes[N_AGENTS];
-  LcRevision revision;
-  int64_t now_us;
-  uint32_t n_steps;
-  uint32_t n_resets;
-  uint32_t n_searches;
-} World;
-
-static LcPacket
-packet_of (uint32_t flow, bool may_open)
-{
-  LcPacket p = { .may_open = may_open, .total_len = 34 };
-
-  p.key.source_ipv4 = 0x64400000 + flow;
-  p.key.target_ipv4 = 0xc6120001;
-  p.key.source_port = (uint16_t)(1000 + flow);
-  p.key.target_port = 443;
-  p.key.protocol = LC_PROTOCOL_TCP;
-  return p;
-}
-
-static uint32_t
-flow_of (const LcPacket *p)
-{
-  return p->key.source_ipv4 - 0x64400000;
-}
-
-/* === the view =============================================================================== */
-
-static void
-apply (World *w, LcViewOp *op)
-{
-  op->revision = ++w->revision;
-  ck_assert_int_eq (lc_view_apply (&w->view, op, NULL), 0);
-}
-
-static void
-put_endpoint (World *w, int i, LcEndpointState state)
-{
-  LcViewOp op = { .kind = LC_VIEW_ENDPOINT };
-
-  op.endpoint.id = (LcEndpointId)(i + 1);
-  op.endpoint.service_id = 1;
-  op.endpoint.instance = (LcInstance)(100 + i);
-  op.endpoint.state = (uint8_t)state;
-  op.endpoint.weight_percent = 100;
-  op.endpoint.ipv4 = (uint32_t)i;
-  op.endpoint.flow_port = 7100;
-  op.endpoint.connection_limit = 2000;
-  (void)g_snprintf (op.endpoint.name, sizeof op.endpoint.name, "e%d", i);
-  apply (w, &op);
-}
-
-static void
-show_view (World *w)
-{
-  for (int i = 0; i < N_AGENTS; i++)
-    if (w->nodes[i].is_up)
-      lc_flow_agent_set_view (&w->nodes[i].agent, &w->view, w->now_us);
-  lc_flow_balancer_set_view (&w->balancer, &w->view);
-}
-
-static void
-start_agent (World *w, int i)
-{
-  LcFlowAgentDesc desc = { .self = { (LcEndpointId)(i + 1), (uint32_t)i, (LcInstance)(100 + i),
-                                     7100 },
-                           .service_id = 1,
-                           .is_returning = true };
-
-  lc_flow_agent_init (&w->nodes[i].agent, &desc, w->now_us);
-  w->nodes[i].is_up = true;
-  lc_flow_agent_set_view (&w->nodes[i].agent, &w->view, w->now_us);
-}
-
-/* The process beside the backend server starts again; what that one holds stays. */
-static void
-restart_agent (World *w, int i)
-{
-  lc_flow_agent_finish (&w->nodes[i].agent);
-  start_agent (w, i);
-}
-
-static void
-start (World *w, int n)
-{
-  LcViewOp service = { .kind = LC_VIEW_SERVICE, .service = { .id = 1, .name = "desk" } };
-  LcViewOp address = { .kind = LC_VIEW_ADDRESS };
-
-  memset (w, 0, sizeof *w);
-  lc_view_init (&w->view);
-  apply (w, &service);
-  address.address = (LcAddress){ 0xc6120001, 443, LC_PROTOCOL_TCP, 1 };
-  apply (w, &address);
-  for (int i = 0; i < n; i++)
-    put_endpoint (w, i, LC_ENDPOINT_ACTIVE);
-  lc_flow_balancer_init (&w->balancer, 0);
-  lc_flow_balancer_set_returning (&w->balancer, true);
-  for (int i = 0; i < N_AGENTS; i++)
-    start_agent (w, i);
-  show_view (w);
-}
-
-static void
-stop (World *w)
-{
-  for (int i = 0; i < N_AGENTS; i++)
-    lc_flow_agent_finish (&w->nodes[i].agent);
-  lc_flow_balancer_finish (&w->balancer);
-  lc_view_finish (&w->view);
-}
-
-static uint32_t
-n_held (const World *w, uint32_t flow)
-{
-  uint32_t n = 0;
-
-  for (int i = 0; i < N_AGENTS; i++)
-    n += w->nodes[i].holds[flow];
-  return n;
-}
-
-/* === packets ================================================================================ */
-
-static void act (World *w, int at, LcFlowAction *action, const LcEnvelope *e, const LcPacket *p);
-
-static void
-answer (World *w, int at, const LcPacket *p)
-{
-  LcPacket out = { .total_len = 34, .is_accept = p->may_open };
-
-  out.key = p->key;
-  out.key.source_ipv4 = p->key.target_ipv4;
-  out.key.source_port = p->key.target_port;
-  out.key.target_ipv4 = p->key.source_ipv4;
-  out.key.target_port = p->key.source_port;
-  lc_flow_return_answered (&w->nodes[at].agent, &out, w->now_us);
-}
-
-static void
-backend (World *w, int at, const LcPacket *p, uint32_t mark)
-{
-  Node *n = &w->nodes[at];
-  LcPacket back = *p;
-  LcEnvelope e;
-  LcFlowAction action;
-
-  if (n->is_dead)
-    return;
-  if (p->may_open && !n->is_full)
-    {
-      n->n_firsts++;
-      n->holds[flow_of (p)] = true;
-    }
-  else if (!p->may_open && n->holds[flow_of (p)])
-    n->n_delivered++;
-  else
-    {
-      back.is_returned = true;
-      back.mark = mark;
-      action = lc_flow_return_returned (&n->agent, &e, &back, w->now_us);
-      act (w, at, &action, &e, p);
-      return;
-    }
-  answer (w, at, p);
-}
-
-static void
-arrive (World *w, int at, LcEnvelope e, const LcPacket *p)
-{
-  LcFlowAction action;
-
-  ck_assert_uint_lt (w->n_steps++, MAX_STEPS);
-  if (!w->nodes[at].is_up)
-    return;
-  action = lc_flow_agent_packet (&w->nodes[at].agent, &e, p, w->now_us);
-  act (w, at, &action, &e, p);
-}
-
-static void
-search (World *w, int at, bool is_here, const LcPacket *p)
-{
-  LcCandidate others[LC_FLOW_SEARCH_MAX];
-  uint32_t n = lc_flow_return_others (&w->nodes[at].agent, lc_flow_key_hash (&p->key), others);
-
-  w->n_searches++;
-  for (uint32_t i = 0; i < n; i++)
-    {
-      LcEnvelope e;
-
-      lc_flow_return_search (&w->nodes[at].agent, &others[i], &e);
-      arrive (w, (int)others[i].ipv4, e, p);
-    }
-  if (is_here)
-    backend (w, at, p, w->nodes[at].agent.desc.self.id);
-}
-
-static void
-act (World *w, int at, LcFlowAction *action, const LcEnvelope *e, const LcPacket *p)
-{
-  switch (action->kind)
-    {
-    case LC_FLOW_ACTION_DELIVER:
-      backend (w, at, p, action->deliver.mark);
-      break;
-    case LC_FLOW_ACTION_TRY:
-      backend (w, at, p, action->try_mark);
-      break;
-    case LC_FLOW_ACTION_SEND:
-      arrive (w, (int)action->send.ipv4, *e, p);
-      break;
-    case LC_FLOW_ACTION_SEARCH:
-      search (w, at, action->is_here, p);
-      break;
-    case LC_FLOW_ACTION_RESET:
-      w->n_resets++;
-      break;
-    case LC_FLOW_ACTION_DROP:
-      break;
-    }
-}
-
-/* Agents' messages, until there are none. */
-static void
-settle (World *w)
-{
-  LcFlowMessage m;
-  bool has_sent = true;
-
-  w->now_us += 300 * LC_US_PER_MS;
-  for (int i = 0; i < N_AGENTS; i++)
-    if (w->nodes[i].is_up)
-      lc_flow_agent_tick (&w->nodes[i].agent, w->now_us);
-  while (has_sent)
-    {
-      has_sent = false;
-      for (int i = 0; i < N_AGENTS; i++)
-        while (w->nodes[i].is_up && lc_flow_agent_next (&w->nodes[i].agent, &m, w->now_us))
-          {
-            has_sent = true;
-            if (w->nodes[m.to.ipv4].is_up)
-              lc_flow_agent_message (&w->nodes[m.to.ipv4].agent, &m, w->now_us);
-          }
-    }
-}
-
-static uint32_t
-take_resets (World *w)
-{
-  LcPacket p;
-  uint32_t n = 0;
-
-  for (int i = 0; i < N_AGENTS; i++)
-    while (lc_flow_return_next_reset (&w->nodes[i].agent, &p))
-      {
-        ck_assert_uint_eq (n_held (w, flow_of (&p)), 0);
-        n++;
-      }
-  return n;
-}
-
-static int
-send (World *w, const LcPacket *p)
-{
-  LcEnvelope e;
-  LcCandidate to;
-  int r = lc_flow_balancer_steer (&w->balancer, p, &e, &to);
-
-  w->n_steps = 0;
-  if (r == 0)
-    arrive (w, (int)to.ipv4, e, p);
-  return r;
-}
-
-static void
-open_flows (World *w)
-{
-  for (uint32_t f = 0; f < N_FLOWS; f++)
-    {
-      LcPacket p = packet_of (f, true);
-
-      ck_assert_int_eq (send (w, &p), 0);
-    }
-  settle (w);
-}
-
-/* Each flow's packets reach the one backend server that holds it. */
-static void
-check_all_reach (World *w, const char *what)
-{
-  for (uint32_t f = 0; f < N_FLOWS; f++)
-    {
-      LcPacket p = packet_of (f, false);
-      uint32_t before = 0;
-      uint32_t after = 0;
-
-      ck_assert_msg (n_held (w, f) == 1, "%s: flow %u is held by %u", what, f, n_held (w, f));
-      for (int i = 0; i < N_AGENTS; i++)
-        before += w->nodes[i].n_delivered;
-      (void)send (w, &p);
-      for (int i = 0; i < N_AGENTS; i++)
-        after += w->nodes[i].n_delivered;
-      ck_assert_msg (after == before + 1, "%s: flow %u reached its owner %u times", what, f,
-                     after - before);
-    }
-}
-
 /* === what happens =========================================================================== */
 
 typedef enum
@@ -365,77 +34,77 @@
 };
 
 static void
-happen (World *w, Event event)
+happen (RwWorld *w, Event event)
 {
   switch (event)
     {
     case RESTART_ONE:
-      restart_agent (w, 1);
+      rw_restart_agent (w, 1);
       break;
     case RESTART_ALL:
-      for (int i = 0; i < N_AGENTS; i++)
-        restart_agent (w, i);
+      for (int i = 0; i < RW_N_AGENTS; i++)
+        rw_restart_agent (w, i);
       break;
     case JOIN:
-      put_endpoint (w, 3, LC_ENDPOINT_JOINING);
-      put_endpoint (w, 4, LC_ENDPOINT_JOINING);
+      rw_put_endpoint (w, 3, LC_ENDPOINT_JOINING);
+      rw_put_endpoint (w, 4, LC_ENDPOINT_JOINING);
       break;
     case LEAVE:
-      put_endpoint (w, 0, LC_ENDPOINT_DRAINING);
+      rw_put_endpoint (w, 0, LC_ENDPOINT_DRAINING);
       lc_flow_agent_leave (&w->nodes[0].agent);
       break;
     case LEAVE_ALL:
       for (int i = 0; i < 3; i++)
-        put_endpoint (w, i, LC_ENDPOINT_DRAINING);
+        rw_put_endpoint (w, i, LC_ENDPOINT_DRAINING);
       break;
     case LOSE_IN_VIEW:
-      put_endpoint (w, 2, LC_ENDPOINT_LOST);
+      rw_put_endpoint (w, 2, LC_ENDPOINT_LOST);
       break;
     case VIEW_TWICE:
-      put_endpoint (w, 3, LC_ENDPOINT_JOINING);
-      show_view (w);
-      put_endpoint (w, 3, LC_ENDPOINT_DRAINING);
+      rw_put_endpoint (w, 3, LC_ENDPOINT_JOINING);
+      rw_show_view (w);
+      rw_put_endpoint (w, 3, LC_ENDPOINT_DRAINING);
       break;
     case NOTHING:
       break;
     }
-  show_view (w);
+  rw_show_view (w);
 }
 
 START_TEST (test_open_flows_are_found)
 {
-  World w;
+  RwWorld w;
 
-  start (&w, 3);
-  open_flows (&w);
+  rw_start (&w, 3);
+  rw_open_flows (&w);
   happen (&w, EVENTS[_i].event);
-  check_all_reach (&w, EVENTS[_i].what);
-  settle (&w);
-  check_all_reach (&w, EVENTS[_i].what);
+  rw_check_all_reach (&w, EVENTS[_i].what);
+  rw_settle (&w);
+  rw_check_all_reach (&w, EVENTS[_i].what);
   /* What was searched for once is registered again: the third packet needs no search. */
-  settle (&w);
+  rw_settle (&w);
   w.n_searches = 0;
-  check_all_reach (&w, EVENTS[_i].what);
+  rw_check_all_reach (&w, EVENTS[_i].what);
   if (EVENTS[_i].event != LEAVE_ALL && EVENTS[_i].event != LOSE_IN_VIEW)
     ck_assert_msg (w.n_searches == 0, "%s: %u searches", EVENTS[_i].what, w.n_searches);
-  ck_assert_uint_eq (w.n_resets + take_resets (&w), 0);
-  stop (&w);
+  ck_assert_uint_eq (w.n_resets + rw_take_resets (&w), 0);
+  rw_stop (&w);
 }
 END_TEST
 
 START_TEST (test_new_flows_avoid_who_leaves)
 {
-  World w;
+  RwWorld w;
 
-  start (&w, 3);
-  put_endpoint (&w, 0, LC_ENDPOINT_DRAINING);
+  rw_start (&w, 3);
+  rw_put_endpoint (&w, 0, LC_ENDPOINT_DRAINING);
   lc_flow_agent_leave (&w.nodes[0].agent);
   /* The balancer and the other agents have the old view. */
-  open_flows (&w);
+  rw_open_flows (&w);
   ck_assert_uint_eq (w.nodes[0].n_firsts, 0);
-  for (uint32_t f = 0; f < N_FLOWS; f++)
-    ck_assert_uint_eq (n_held (&w, f), 1);
-  stop (&w);
+  for (uint32_t f = 0; f < RW_N_FLOWS; f++)
+    ck_assert_uint_eq (rw_n_held (&w, f), 1);
+  rw_stop (&w);
 }
 END_TEST
 
@@ -447,33 +116,33 @@
   uint32_t n_held;
   uint32_t n_resets;
 } FULL[] = {
-  { "one returns first packets", 1, 0, N_FLOWS, 0 },
-  { "two return first packets", 2, 0, N_FLOWS, 0 },
-  { "all return first packets", 3, 0, 0, N_FLOWS },
+  { "one returns first packets", 1, 0, RW_N_FLOWS, 0 },
+  { "two return first packets", 2, 0, RW_N_FLOWS, 0 },
+  { "all return first packets", 3, 0, 0, RW_N_FLOWS },
   { "a copy gets no reset", 3, 1, 0, 0 },
 };
 
 START_TEST (test_first_packets_are_returned)
 {
   uint32_t n = 0;
-  World w;
+  RwWorld w;
 
-  start (&w, 3);
+  rw_start (&w, 3);
   for (uint32_t i = 0; i < FULL[_i].n_full; i++)
     w.nodes[i].is_full = true;
-  for (uint32_t f = 0; f < N_FLOWS; f++)
+  for (uint32_t f = 0; f < RW_N_FLOWS; f++)
     {
-      LcPacket p = packet_of (f, true);
+      LcPacket p = rw_packet_of (f, true);
 
       p.n_copies = FULL[_i].n_copies;
-      (void)send (&w, &p);
+      (void)rw_send (&w, &p);
       w.now_us += 2 * LC_US_PER_S; /* each is asked anew: a refusal is remembered for a second */
     }
-  for (uint32_t f = 0; f < N_FLOWS; f++)
-    n += n_held (&w, f);
+  for (uint32_t f = 0; f < RW_N_FLOWS; f++)
+    n += rw_n_held (&w, f);
   ck_assert_msg (n == FULL[_i].n_held && w.n_resets == FULL[_i].n_resets, "%s: %u held, %u resets",
                  FULL[_i].what, n, w.n_resets);
-  stop (&w);
+  rw_stop (&w);
 }
 END_TEST
 
@@ -481,11 +150,11 @@
  * the homes do not point to. */
 START_TEST (test_the_caller_chooses)
 {
-  World w;
+  RwWorld w;
 
-  start (&w, 3);
-  open_flows (&w);
-  for (uint32_t f = 0; f < N_FLOWS; f++)
+  rw_start (&w, 3);
+  rw_open_flows (&w);
+  for (uint32_t f = 0; f < RW_N_FLOWS; f++)
     {
       int from = 0;
 
@@ -494,35 +163,35 @@
       w.nodes[from].holds[f] = false;
       w.nodes[(from + 1) % 3].holds[f] = true;
     }
-  check_all_reach (&w, "right after");
+  rw_check_all_reach (&w, "right after");
   for (int i = 0; i < 3; i++)
-    settle (&w);
+    rw_settle (&w);
   w.n_searches = 0;
-  check_all_reach (&w, "later");
+  rw_check_all_reach (&w, "later");
   ck_assert_uint_eq (w.n_searches, 0);
-  stop (&w);
+  rw_stop (&w);
 }
 END_TEST
 
 /* A backend server that says nothing: the copies of a first packet go to another. */
 START_TEST (test_copies_go_on)
 {
-  World w;
+  RwWorld w;
 
-  start (&w, 3);
+  rw_start (&w, 3);
   w.nodes[1].is_dead = true;
-  for (uint32_t f = 0; f < N_FLOWS; f++)
+  for (uint32_t f = 0; f < RW_N_FLOWS; f++)
     {
-      LcPacket p = packet_of (f, true);
+      LcPacket p = rw_packet_of (f, true);
 
-      (void)send (&w, &p);
-      settle (&w); /* the agent of the dead one has registered the flow with its homes */
+      (void)rw_send (&w, &p);
+      rw_settle (&w); /* the agent of the dead one has registered the flow with its homes */
       p.n_copies = 1;
-      (void)send (&w, &p);
+      (void)rw_send (&w, &p);
     }
-  settle (&w);
-  check_all_reach (&w, "after the copies");
-  stop (&w);
+  rw_settle (&w);
+  rw_check_all_reach (&w, "after the copies");
+  rw_stop (&w);
 }
 END_TEST
 
@@ -531,11 +200,11 @@
 START_TEST (test_agent_gone)
 {
   LcReach reach;
-  World w;
+  RwWorld w;
 
-  start (&w, 3);
-  open_flows (&w);
-  for (uint32_t f = 0; f < N_FLOWS; f++)
+  rw_start (&w, 3);
+  rw_open_flows (&w);
+  for (uint32_t f = 0; f < RW_N_FLOWS; f++)
     w.nodes[2].holds[f] = false; /* its flows are lost with it */
   w.nodes[2].is_up = false;
   lc_reach_init (&reach);
@@ -547,18 +216,18 @@
   }
   w.now_us += LC_REACH_SUSPECT_US;
   lc_flow_balancer_mark_suspects (&w.balancer, &reach, w.now_us);
-  for (uint32_t f = 0; f < N_FLOWS; f++)
+  for (uint32_t f = 0; f < RW_N_FLOWS; f++)
     {
-      LcPacket p = packet_of (f, false);
+      LcPacket p = rw_packet_of (f, false);
       uint32_t before = w.nodes[0].n_delivered + w.nodes[1].n_delivered;
 
-      if (n_held (&w, f) == 0)
+      if (rw_n_held (&w, f) == 0)
         continue;
-      (void)send (&w, &p);
+      (void)rw_send (&w, &p);
       ck_assert_uint_eq (w.nodes[0].n_delivered + w.nodes[1].n_delivered, before + 1);
     }
   lc_reach_finish (&reach);
-  stop (&w);
+  rw_stop (&w);
 }
 END_TEST
 
@@ -634,20 +303,20 @@
 {
   static const LcEnvelopeMode MODES[] = { LC_MODE_WALK, LC_MODE_OPEN, LC_MODE_OWNER,
                                           LC_MODE_SEARCH };
-  World w;
+  RwWorld w;
 
-  start (&w, 3);
+  rw_start (&w, 3);
   for (size_t i = 0; i < G_N_ELEMENTS (MODES); i++)
     for (int may_open = 0; may_open < 2; may_open++)
       {
-        LcPacket p = packet_of (0, may_open);
+        LcPacket p = rw_packet_of (0, may_open);
         LcEnvelope e = { .mode = (uint8_t)MODES[i], .service_id = 2, .n = 1, .hops_left = 8 };
         LcFlowAction action = lc_flow_agent_packet (&w.nodes[0].agent, &e, &p, w.now_us);
 
         ck_assert_int_eq (action.kind, LC_FLOW_ACTION_DROP);
         ck_assert_int_eq (action.reason, LC_DROP_WRONG_INSTANCE);
       }
-  stop (&w);
+  rw_stop (&w);
 }
 END_TEST
 
@@ -676,19 +345,19 @@
 };
 
 static void
-lose (World *w, Lost lost)
+lose (RwWorld *w, Lost lost)
 {
   memset (w->nodes[0].holds, 0, sizeof w->nodes[0].holds);
   memset (w->nodes[1].holds, 0, sizeof w->nodes[1].holds);
   memset (w->nodes[2].holds, lost == ONE_HOLDS, sizeof w->nodes[2].holds);
   if (lost == ONE_HOLDS)
-    restart_agent (w, 2);
+    rw_restart_agent (w, 2);
   if (lost == ONE_SILENT || lost == ONE_LOST || lost == ONE_JUST_LOST)
     w->nodes[2].is_up = false;
   if (lost == ONE_LOST || lost == ONE_JUST_LOST)
     {
-      put_endpoint (w, 2, LC_ENDPOINT_LOST);
-      show_view (w);
+      rw_put_endpoint (w, 2, LC_ENDPOINT_LOST);
+      rw_show_view (w);
       w->now_us += lost == ONE_LOST ? 6 * LC_US_PER_S : 0;
     }
 }
@@ -696,25 +365,25 @@
 START_TEST (test_lost_flows)
 {
   uint32_t n_resets;
-  World w;
+  RwWorld w;
 
-  start (&w, 3);
-  open_flows (&w);
+  rw_start (&w, 3);
+  rw_open_flows (&w);
   lose (&w, LOST[_i].lost);
   for (int round = 0; round < 2; round++)
     {
-      for (uint32_t f = 0; f < N_FLOWS; f++)
+      for (uint32_t f = 0; f < RW_N_FLOWS; f++)
         {
-          LcPacket p = packet_of (f, false);
+          LcPacket p = rw_packet_of (f, false);
 
-          (void)send (&w, &p);
+          (void)rw_send (&w, &p);
         }
-      settle (&w);
+      rw_settle (&w);
     }
-  n_resets = take_resets (&w);
+  n_resets = rw_take_resets (&w);
   ck_assert_msg ((n_resets > 0) == LOST[_i].has_resets, "%s: %u resets", LOST[_i].what, n_resets);
   ck_assert_uint_eq (w.n_resets, 0);
-  stop (&w);
+  rw_stop (&w);
 }
 END_TEST
 
@@ -739,7 +408,7 @@
     { "too late", { 1, 2, 3 }, { 5, 5, 5 }, LC_FLOW_SEARCH_US, false },
   };
   LcFlowSearches *searches = g_new0 (LcFlowSearches, 1);
-  LcPacket p = packet_of (7, false);
+  LcPacket p = rw_packet_of (7, false);
   LcPacket out;
 
   for (size_t i = 0; i < G_N_ELEMENTS (CASES); i++)
