Flows: a drop that may be answered becomes a reset without being counted twice

Cause: lc_flow_return__assign took back one drop from the counter so that lc_flow_return__fail could count it again; a reader met a counter going down. Now the drop is counted once where it happens and fail only changes its kind.

--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -81,15 +81,15 @@
   return lc_flow_agent__drop (a, LC_DROP_NO_OWNER);
 }
 
-/* Nobody can take the flow.  Only a first packet that was not sent before may be answered with a
- * reset: an earlier copy may have opened the flow meanwhile. */
+/* Nobody can take the flow: the drop, counted already, becomes a reset where that is true.  Only a
+ * first packet that was not sent before may be answered so: an earlier copy may have opened the
+ * flow meanwhile. */
 static LcFlowAction
-lc_flow_return__fail (LcFlowAgent *a, const LcPacket *packet, LcDropReason reason)
+lc_flow_return__fail (LcFlowAction drop, const LcPacket *packet)
 {
-  if (!packet->may_open || packet->n_copies > 0)
-    return lc_flow_agent__drop (a, reason);
-  a->counts.dropped_total[reason]++;
-  return (LcFlowAction){ .kind = LC_FLOW_ACTION_RESET, .reason = reason };
+  if (packet->may_open && packet->n_copies == 0)
+    drop.kind = LC_FLOW_ACTION_RESET;
+  return drop;
 }
 
 /* A first packet remembers the hops that it has left while the backend server looks at it. */
@@ -108,10 +108,7 @@
   LcFlowAction action = lc_flow_agent__assign (a, e, f, packet, now_us);
 
   if (action.kind == LC_FLOW_ACTION_DROP)
-    {
-      a->counts.dropped_total[action.reason]--; /* counted again with the answer */
-      return lc_flow_return__fail (a, packet, action.reason);
-    }
+    return lc_flow_return__fail (action, packet);
   return lc_flow_return__marked (action, e, packet);
 }
 
@@ -291,7 +288,7 @@
     return packet->mark != LC_FLOW_MARK_NONE ? lc_flow_return__answer_search (a, packet, now_us)
                                              : lc_flow_return__search (a, packet, false, now_us);
   if (packet->mark <= LC_FLOW_RETURN_HOPS || packet->mark > LC_ENVELOPE_HOPS)
-    return lc_flow_return__fail (a, packet, LC_DROP_LIMIT);
+    return lc_flow_return__fail (lc_flow_agent__drop (a, LC_DROP_LIMIT), packet);
   lc_flow_return_search (a, &a->desc.self, e);
   e->mode = LC_MODE_REFUSED;
   e->hops_left = (uint8_t)(packet->mark - LC_FLOW_RETURN_HOPS);
