--- a/src/balancer/lc-caller.h
+++ b/src/balancer/lc-caller.h
@@ -11,7 +11,7 @@
 #define LC_CALLER_H
 
 #include "core/request/lc-request-balancer.h"
-#include "filter/lc-filter-answer.h"
+#include "core/filter/lc-filter-answer.h"
 #include "io/lc-link.h"
 #include "proto/lc-request.pb-c.h"
 
--- a/src/core/request/lc-request-balancer.h
+++ b/src/core/request/lc-request-balancer.h
@@ -27,8 +27,8 @@
 #ifndef LC_REQUEST_BALANCER_H
 #define LC_REQUEST_BALANCER_H
 
-#include "filter/lc-filter-attempt.h"
-#include "filter/lc-filter.h"
+#include "core/filter/lc-filter-attempt.h"
+#include "core/filter/lc-filter.h"
 #include "lc-hedge.h"
 
 #ifdef __cplusplus
--- a/tests/request/test-request.c
+++ b/tests/request/test-request.c
@@ -8,8 +8,8 @@
 #include "core/request/lc-hedge.h"
 #include "core/request/lc-pick.h"
 #include "core/request/lc-retry.h"
-#include "filter/lc-filter-answer.h"
-#include "filter/lc-filter.h"
+#include "core/filter/lc-filter-answer.h"
+#include "core/filter/lc-filter.h"
 
 #include <check.h>
 #include <string.h>
