--- a/src/core/filter/lc-filter-attempt.c
+++ b/src/core/filter/lc-filter-attempt.c
@@ -41,6 +41,21 @@
   return false;
 }
 
+/* Whether the link of an endpoint not tried yet will be up within moments. */
+static bool
+lc_filter_attempt__is_connecting (const LcAttemptPlanning *planning)
+{
+  for (uint32_t i = 0; i < planning->pick->n_targets; i++)
+    {
+      const LcPickTarget *target = &planning->pick->targets[i];
+
+      if (lc_pick_is_connecting (target, planning->now_us) &&
+          !lc_attempt_has_tried (planning->attempt, target->ref.instance))
+        return true;
+    }
+  return false;
+}
+
 LcAttemptPlan
 lc_filter_attempt_first (const LcAttemptPlanning *planning)
 {
@@ -49,6 +64,10 @@
   if (planning->attempt->n_attempts >= LC_ATTEMPT_MAX)
     return lc_filter_attempt__end (LC_REFUSE_NO_ENDPOINT);
   target = lc_filter_attempt__choose (planning);
+  /* All that wait when the first of several links is up would queue at that one endpoint. */
+  if (target != NULL && lc_pick_is_full (planning->pick, target, planning->now_us) &&
+      lc_filter_attempt__is_connecting (planning))
+    return (LcAttemptPlan){ .kind = LC_PLAN_WAIT };
   if (target != NULL)
     return lc_filter_attempt__send (target);
   if (lc_filter_attempt__may_wait (planning))
--- a/src/core/request/lc-pick.c
+++ b/src/core/request/lc-pick.c
@@ -17,6 +17,9 @@
 #define LC_PICK_SILENCE_US (100 * LC_US_PER_MS)
 #define LC_PICK_RAMP_US (10 * LC_US_PER_S)
 #define LC_PICK_SERVICE_US (10 * LC_US_PER_MS)
+/* A connect within a data centre takes under a millisecond; on a host that is busy, tens of them.
+ */
+#define LC_PICK_CONNECT_US (100 * LC_US_PER_MS)
 
 /* === private: the table ===================================================================== */
 
@@ -256,6 +259,36 @@
     target->slots = report->limit;
 }
 
+bool
+lc_pick_is_full (const LcPick *pick, const LcPickTarget *target, int64_t now_us)
+{
+  int64_t load = (int64_t)target->outstanding * 256 + lc_pick__others (pick, target, now_us);
+
+  return load >= (int64_t)target->slots * 256;
+}
+
+void
+lc_pick_connect (LcPickTarget *target, int64_t now_us)
+{
+  if (target->is_reachable)
+    target->connecting_us = now_us;
+  target->is_reachable = false;
+}
+
+bool
+lc_pick_is_connecting (const LcPickTarget *target, int64_t now_us)
+{
+  return !target->is_reachable && !target->is_draining && target->connecting_us != 0 &&
+         now_us - target->connecting_us < LC_PICK_CONNECT_US;
+}
+
+void
+lc_pick_set_reachable (LcPickTarget *target, bool is_reachable)
+{
+  target->is_reachable = is_reachable;
+  target->connecting_us = 0;
+}
+
 LcPickTarget *
 lc_pick_choose (
     LcPick *pick, uint64_t random, const LcInstance *tried, uint32_t n_tried, int64_t now_us)
--- a/src/core/request/lc-pick.h
+++ b/src/core/request/lc-pick.h
@@ -67,7 +67,8 @@
     int64_t heard_us;   /* last message from it, or first attempt sent since */
     uint32_t refusals;  /* smoothed share of attempts that its backend server shed, in 1/256 */
     bool is_draining;
-    bool is_reachable; /* its link is up, or not yet tried */
+    bool is_reachable;     /* its link is up, or not yet tried */
+    int64_t connecting_us; /* its link was first asked for then and is being made; 0: it is not */
     LcOutlier outlier;
   } LcPickTarget;
 
@@ -99,6 +100,18 @@
   /* The score of one endpoint, in microseconds; lower is better. */
   int64_t lc_pick_score (const LcPick *pick, const LcPickTarget *target, int64_t now_us);
 
+  /* Whether an attempt sent there now would wait for a slot. */
+  bool lc_pick_is_full (const LcPick *pick, const LcPickTarget *target, int64_t now_us);
+
+  /* An attempt could not be sent, since there is no link yet; one is being made. */
+  void lc_pick_connect (LcPickTarget *target, int64_t now_us);
+
+  /* Whether the link is being made and may be up within moments. */
+  bool lc_pick_is_connecting (const LcPickTarget *target, int64_t now_us);
+
+  /* The link is up, or lost, or could not be made. */
+  void lc_pick_set_reachable (LcPickTarget *target, bool is_reachable);
+
   /* Draws with `random`; skips the instances tried before, unreachable, draining and ejected ones;
    * NULL when none is left. */
   LcPickTarget *lc_pick_choose (
--- a/src/core/request/lc-request-balancer.c
+++ b/src/core/request/lc-request-balancer.c
@@ -124,7 +124,7 @@
   target =
       lc_pick_find (&flight->service->pick, flight->attempt.attempts[number - 1].target.instance);
   if (target != NULL)
-    target->is_reachable = false;
+    lc_pick_connect (target, now_us);
   step = lc_attempt_unsent (&flight->attempt, number);
   lc_balancer__settle_counts (flight);
   if (step.kind != LC_STEP_RETRY)
@@ -258,7 +258,7 @@
   LcPickTarget *target = lc_balancer__target (balancer, instance);
 
   if (target != NULL)
-    target->is_reachable = is_reachable;
+    lc_pick_set_reachable (target, is_reachable);
   if (is_reachable)
     lc_balancer__retry_waiting (balancer, now_us);
 }
--- a/tests/fakes/cluster.py
+++ b/tests/fakes/cluster.py
@@ -19,10 +19,19 @@
 WAIT_S = 20.0
 
 
+drawn = set()
+
+
 def free_port(ip):
-    with socket.socket() as s:
-        s.bind((ip, 0))
-        return s.getsockname()[1]
+    """A port that is free now and that this process has not drawn before: the system may offer a
+    port again as soon as it is closed."""
+    while True:
+        with socket.socket() as s:
+            s.bind((ip, 0))
+            port = s.getsockname()[1]
+        if (ip, port) not in drawn:
+            drawn.add((ip, port))
+            return port
 
 
 def until(condition, what):
--- a/tests/request/test-request.c
+++ b/tests/request/test-request.c
@@ -9,6 +9,7 @@
 #include "core/request/lc-pick.h"
 #include "core/request/lc-retry.h"
 #include "core/filter/lc-filter-answer.h"
+#include "core/filter/lc-filter-attempt.h"
 #include "core/filter/lc-filter.h"
 
 #include <check.h>
@@ -234,6 +235,58 @@
 }
 END_TEST
 
+/* A request waits for a link that is being made rather than queue behind a run, and not for long.
+ */
+START_TEST (test_links_being_made_are_waited_for)
+{
+  static const struct
+  {
+    bool is_full, is_connecting, is_lost, is_draining;
+    int64_t after_us;
+    LcAttemptPlanKind kind;
+  } cases[] = {
+    { false, true, false, false, 1, LC_PLAN_SEND },
+    { true, false, false, false, 1, LC_PLAN_SEND },
+    { true, true, false, false, 1, LC_PLAN_WAIT },
+    { true, true, false, false, 99 * LC_US_PER_MS, LC_PLAN_WAIT },
+    { true, true, false, false, 100 * LC_US_PER_MS, LC_PLAN_SEND },
+    { true, true, true, false, 1, LC_PLAN_SEND },
+    { true, true, false, true, 1, LC_PLAN_SEND },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      LcService s = { .id = 1 };
+      LcPick pick;
+      LcRetryBudget budget;
+      LcAttempt attempt = { 0 };
+      LcAttemptPlanning planning = { .attempt = &attempt, .pick = &pick, .budget = &budget };
+      LcAttemptPlan plan;
+
+      add_endpoint (&s, 1, 1);
+      add_endpoint (&s, 2, 1);
+      lc_retry_init (&budget, 0);
+      lc_pick_init (&pick, &(LcPickDesc){ .own_dc = 1 });
+      lc_pick_set (&pick, &s, 1);
+      for (uint32_t k = 0; cases[i].is_full && k < pick.targets[0].slots; k++)
+        lc_pick_begin (&pick.targets[0], 1);
+      lc_pick_set_reachable (&pick.targets[1], cases[i].is_connecting);
+      lc_pick_connect (&pick.targets[1], 1);
+      lc_pick_connect (&pick.targets[1], 50 * LC_US_PER_MS); /* does not begin again */
+      if (cases[i].is_lost)
+        lc_pick_set_reachable (&pick.targets[1], false);
+      pick.targets[1].is_draining = cases[i].is_draining;
+      planning.now_us = 1 + cases[i].after_us;
+      plan = lc_filter_attempt_first (&planning);
+      ck_assert_msg (plan.kind == cases[i].kind, "case %zu: %d", i, (int)plan.kind);
+      if (plan.kind == LC_PLAN_SEND)
+        ck_assert_uint_eq (plan.ref.id, 1);
+      lc_pick_finish (&pick);
+      g_free (s.endpoints);
+    }
+}
+END_TEST
+
 START_TEST (test_budget_hedge_and_deadline)
 {
   LcRetryBudget budget;
@@ -440,6 +493,7 @@
   tcase_add_test (tcase, test_admission_starts_the_earliest_deadline);
   tcase_add_test (tcase, test_admission_limit_falls_and_grows);
   tcase_add_test (tcase, test_pick_prefers_near_and_free_and_keeps_a_floor);
+  tcase_add_test (tcase, test_links_being_made_are_waited_for);
   tcase_add_test (tcase, test_budget_hedge_and_deadline);
   tcase_add_test (tcase, test_filters);
   tcase_add_test (tcase, test_claim_store);
