--- a/tests/control/test_processes.py
+++ b/tests/control/test_processes.py
@@ -21,6 +21,7 @@
 BUILD = sys.argv.pop(1)
 CONTROL = os.path.join(BUILD, "src/control/lychee-control")
 CLI = os.path.join(BUILD, "src/cli/lychee")
+BALANCER = os.path.join(BUILD, "src/balancer/lychee-balancer")
 LIMIT_S = 30
 
 MARKET = {
@@ -79,6 +80,36 @@
             return json.load(answer)
 
 
+class Balancer:
+    """A balancer that is told of some control VMs only."""
+
+    def __init__(self, folder, net, control):
+        self.address = f"127.31.{net}.9"
+        peer, flow, http, self.admin = free_ports(self.address, 4)
+        settings = os.path.join(folder, "lb-1.json")
+        with open(settings, "w", encoding="utf-8") as out:
+            json.dump({"name": "lb-1", "data_centre": "hall-atl", "address": self.address,
+                       "peer_port": peer, "flow_port": flow, "http_port": http,
+                       "admin_port": self.admin,
+                       "control": [f"{vm.address}:{vm.peer}" for vm in control]}, out)
+        self.log = open(os.path.join(folder, "lb-1.log"), "ab")
+        self.process = subprocess.Popen([BALANCER, "--settings", settings], stdout=self.log, stderr=self.log)
+
+    def revision(self):
+        """The revision of its view; 0 before it has one."""
+        url = f"http://{self.address}:{self.admin}/metrics"
+        with urllib.request.urlopen(url, timeout=2) as answer:
+            for line in answer.read().decode().splitlines():
+                if line.startswith("lychee_view_revision"):
+                    return int(line.split()[-1])
+        return 0
+
+    def stop(self):
+        self.process.kill()
+        self.process.wait()
+        self.log.close()
+
+
 class ControlTest(unittest.TestCase):
     net = random.randrange(20, 250)
 
@@ -251,6 +282,22 @@
         self.leader([new, away])
         self.change(61, [new, away])
 
+    def test_balancer_learns_control_vms(self):
+        """A balancer whose only known control VM ends goes on with those that it was told of."""
+        self.open_market()
+        leader = self.leader()
+        seed = self.others(leader)[0]
+        balancer = Balancer(self.folder, ControlTest.net, [seed])
+        try:
+            before = self.wait("the balancer has a view", balancer.revision)
+            seed.kill()
+            for number in range(2):
+                self.change(200 + number, self.others(seed))
+                before = self.wait("the balancer has the change",
+                                   lambda old=before: balancer.revision() > old and balancer.revision())
+        finally:
+            balancer.stop()
+
     def test_far_behind(self):
         """A VM that missed more than the log keeps gets a snapshot."""
         self.open_market()
