--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -199,9 +199,8 @@
       break;
     }
   if (lc_log_allow (&plane->drop_limit, now_us, LC_AGENT_FLOW_LOG_PER_S))
-    LC_WARN (action->kind == LC_FLOW_ACTION_RESET ? "flow.reset" : "flow.dropped", "reason",
-             LC_STR (lc_drop_reason_name (action->reason)), "caller_ipv4",
-             LC_U64 (packet->key.source_ipv4), "caller_port", LC_U64 (packet->key.source_port));
+    lc_flow_meter_log (action->kind == LC_FLOW_ACTION_RESET ? "flow.reset" : "flow.dropped",
+                       action->reason, &packet->key);
 }
 
 static void
--- a/src/balancer/lc-balancer-flow.c
+++ b/src/balancer/lc-balancer-flow.c
@@ -15,12 +15,11 @@
 /* === private: packets ======================================================================= */
 
 static void
-lc_balancer_flow__drop (LcBalancerFlow *plane, LcDropReason reason, uint32_t from)
+lc_balancer_flow__drop (LcBalancerFlow *plane, LcDropReason reason, const LcFlowKey *key)
 {
   plane->dropped_total[reason]++;
   if (lc_log_allow (&plane->drop_limit, lc_clock_now_us (), LC_BALANCER_FLOW_LOG_PER_S))
-    LC_WARN ("flow.dropped", "reason", LC_STR (lc_drop_reason_name (reason)), "from_ipv4",
-             LC_U64 (from));
+    lc_flow_meter_log ("flow.dropped", reason, key);
 }
 
 static LcPacketFormat
@@ -62,13 +61,14 @@
   if (lc_packet_format_parse (lc_balancer_flow__format (plane), &packet, bytes, len) < 0 ||
       packet.is_returned)
     {
-      lc_balancer_flow__drop (plane, LC_DROP_MALFORMED, ipv4);
+      lc_balancer_flow__drop (plane, LC_DROP_MALFORMED,
+                              &(LcFlowKey){ .source_ipv4 = ipv4, .source_port = port });
       return;
     }
   r = lc_flow_balancer_steer (&plane->balancer, &packet, &envelope, &to);
   if (r < 0)
     {
-      lc_balancer_flow__drop (plane, (LcDropReason)-r, ipv4);
+      lc_balancer_flow__drop (plane, (LcDropReason)-r, &packet.key);
       if (packet.may_open && packet.n_copies == 0)
         lc_balancer_flow__reset (plane, &packet);
       return;
--- a/tests/platform/test-observe.c
+++ b/tests/platform/test-observe.c
@@ -1,5 +1,6 @@
 /* Metrics text and log lines as a program would read them; the admin HTTP port's life. */
 #include "io/lc-clock.h"
+#include "io/lc-flow-meter.h"
 #include "io/lc-http.h"
 #include "io/lc-log.h"
 #include "io/lc-metrics.h"
@@ -78,8 +79,9 @@
                                      "caf\xc3\xa9",
                                      "\xff\xfe invalid UTF-8" };
 
+/* What `write` puts on standard output: one line of JSON. */
 static json_t *
-log_and_parse (const char *text)
+line_of (void (*write_line) (const void *user), const void *user)
 {
   char path[] = "/tmp/lychee-test-log.XXXXXX";
   int fd = mkstemp (path);
@@ -88,9 +90,7 @@
 
   (void)fflush (stdout);
   (void)dup2 (fd, STDOUT_FILENO);
-  LC_DEBUG ("test.hidden");
-  LC_INFO ("test.event", "text", LC_STR (text), "u", LC_U64 (UINT64_C (9007199254740993)), "i",
-           LC_I64 (-3), "d", LC_DBL (0.5));
+  write_line (user);
   (void)dup2 (saved, STDOUT_FILENO);
   close (saved);
   close (fd);
@@ -99,12 +99,53 @@
   return line;
 }
 
+static void
+write_text (const void *user)
+{
+  LC_DEBUG ("test.hidden");
+  LC_INFO ("test.event", "text", LC_STR (user), "u", LC_U64 (UINT64_C (9007199254740993)), "i",
+           LC_I64 (-3), "d", LC_DBL (0.5));
+}
+
+static void
+write_drop (const void *user)
+{
+  lc_flow_meter_log ("flow.dropped", LC_DROP_NO_SERVICE, user);
+}
+
+/* The line of a drop names the flow, whatever program wrote it. */
+START_TEST (test_drop_names_its_flow)
+{
+  static const LcFlowKey key = {
+    .source_ipv4 = 0x7f000001, .source_port = 1034, .target_ipv4 = 0xc6120001, .target_port = 8443
+  };
+  static const struct
+  {
+    const char *name;
+    json_int_t value;
+  } fields[] = { { "caller_ipv4", 0x7f000001 },
+                 { "caller_port", 1034 },
+                 { "service_ipv4", 0xc6120001 },
+                 { "service_port", 8443 } };
+  json_t *line;
+
+  lc_log_init (LC_LOG_INFO, "lychee-test", "vm-1");
+  line = line_of (write_drop, &key);
+  ck_assert_ptr_nonnull (line);
+  ck_assert_str_eq (json_string_value (json_object_get (line, "event")), "flow.dropped");
+  ck_assert_str_eq (json_string_value (json_object_get (line, "reason")), "no-service");
+  for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+    ck_assert_int_eq (json_integer_value (json_object_get (line, fields[i].name)), fields[i].value);
+  json_decref (line);
+}
+END_TEST
+
 START_TEST (test_log_line)
 {
   json_t *line;
 
   lc_log_init (LC_LOG_INFO, "lychee-test", "vm-1");
-  line = log_and_parse (TEXTS[_i]);
+  line = line_of (write_text, TEXTS[_i]);
   ck_assert_ptr_nonnull (line);
   ck_assert_str_eq (json_string_value (json_object_get (line, "event")), "test.event");
   ck_assert_str_eq (json_string_value (json_object_get (line, "level")), "info");
@@ -275,6 +316,7 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_test (tcase, test_metrics_text);
   tcase_add_loop_test (tcase, test_histogram, 0, G_N_ELEMENTS (BUCKETS));
+  tcase_add_test (tcase, test_drop_names_its_flow);
   tcase_add_loop_test (tcase, test_log_line, 0, G_N_ELEMENTS (TEXTS));
   tcase_add_test (tcase, test_log_never_blocks);
   tcase_add_test (tcase, test_log_limit);
