--- a/src/controller/lc-view-server.c
+++ b/src/controller/lc-view-server.c
@@ -30,6 +30,7 @@
 {
   LcLink *link;
   LcScope scope;
+  LcRevision scope_revision; /* up to here the scope has seen every operation */
   LcRevision sent_revision;
   LcSnapshotCache *snapshot; /* being sent, or NULL */
   guint next_part;
@@ -71,6 +72,13 @@
 
 /* === private: subscribers =================================================================== */
 
+static void
+lc_view_server__resolve (const LcViewServer *server, LcSubscriber *sub)
+{
+  lc_scope_resolve (&sub->scope, server->desc.view);
+  sub->scope_revision = server->desc.view->revision;
+}
+
 static void
 lc_view_server__end_snapshot (LcViewServer *server, LcSubscriber *sub)
 {
@@ -112,7 +120,7 @@
     }
   if (sub->scope.is_scoped)
     {
-      lc_scope_resolve (&sub->scope, server->desc.view);
+      lc_view_server__resolve (server, sub);
       sub->snapshot = lc_snapshot_cache__new (&sub->scope, server->desc.view);
     }
   else
@@ -170,6 +178,9 @@
 
   if (sub->sent_revision == 0 || !lc_op_log_covers (&server->log, sub->sent_revision))
     return false;
+  /* It was ahead of us when it came: its scope's ids may be of operations that never passed it. */
+  if (sub->scope.is_scoped && sub->scope_revision < sub->sent_revision)
+    return false;
   n = lc_view_server__count_wanted (server, sub);
   return n < LC_VIEW_SERVER_SMALL_OPS ||
          n <= lc_scope_snapshot_ops (&sub->scope, server->desc.view);
@@ -221,6 +232,7 @@
   if (lc_link_send_bytes (sub->link, LC_FRAME_MEMBER_DELTA, bytes->data, bytes->len) == 0)
     {
       sub->sent_revision = server->desc.view->revision;
+      sub->scope_revision = sub->sent_revision;
       server->deltas_total++;
       server->bytes_total += bytes->len + LC_FRAME_HEADER_BYTES;
     }
@@ -353,7 +365,7 @@
     }
   lc_view_server__end_snapshot (server, sub);
   sub->scope = *scope;
-  lc_scope_resolve (&sub->scope, server->desc.view);
+  lc_view_server__resolve (server, sub);
   sub->sent_revision = from;
   lc_view_server__arm (server);
 }
--- a/tests/member/test-member-links.c
+++ b/tests/member/test-member-links.c
@@ -2,6 +2,11 @@
 #include "fake-control.h"
 #include "fake-node.h"
 
+#include "controller/lc-view-server.h"
+#include "io/lc-member-frames.h"
+#include "io/lc-wire-view.h"
+#include "proto/lc-member.pb-c.h"
+
 #include <check.h>
 #include <string.h>
 
@@ -91,6 +96,185 @@
   memset (w, 0, sizeof *w);
 }
 
+/* === a view server and one subscriber ======================================================= */
+
+typedef struct
+{
+  LcView view;
+  LcViewServer server;
+  LcLinkServer listener;
+  LcLinkClient client;
+  uint32_t n_endpoints; /* operations that the subscriber got */
+  bool is_subscribed;
+} Feed;
+
+static void
+feed_subscribe (void *user, LcLink *link)
+{
+  LcScope scope = { .is_scoped = true, .service = "order-desk", .data_centre = "hall-atl" };
+  Feed *f = user;
+
+  lc_view_server_subscribe (&f->server, link, 3, &scope); /* another upstream has shown it 3 */
+  f->is_subscribed = true;
+}
+
+static void
+feed_lost (void *user, LcLink *link, const char *why)
+{
+  lc_view_server_link_down (&((Feed *)user)->server, link);
+}
+
+static void
+feed_ignore_frame (void *user, LcLink *link, const LcFrame *frame)
+{
+}
+
+static void
+feed_ignore_up (void *user, LcLink *link)
+{
+}
+
+static void
+feed_ignore_down (void *user, LcLink *link, const char *why)
+{
+}
+
+static void
+feed_count (Feed *f, Lc__Wire__ViewOp **ops, size_t n_ops)
+{
+  for (size_t i = 0; i < n_ops; i++)
+    {
+      LcError error = { 0 };
+      LcViewOp op;
+
+      ck_assert_int_eq (lc_wire_view_op_read (&op, ops[i], &error), 0);
+      f->n_endpoints += op.kind == LC_VIEW_ENDPOINT ? 1 : 0;
+    }
+}
+
+static void
+feed_on_frame (void *user, LcLink *link, const LcFrame *frame)
+{
+  Feed *f = user;
+
+  if (frame->type == LC_FRAME_MEMBER_DELTA)
+    {
+      Lc__Wire__ViewDelta *delta =
+          lc__wire__view_delta__unpack (NULL, frame->payload_len, frame->payload);
+
+      feed_count (f, delta->ops, delta->n_ops);
+      lc__wire__view_delta__free_unpacked (delta, NULL);
+    }
+  else if (frame->type == LC_FRAME_MEMBER_SNAPSHOT)
+    {
+      Lc__Wire__ViewSnapshotPart *part =
+          lc__wire__view_snapshot_part__unpack (NULL, frame->payload_len, frame->payload);
+
+      feed_count (f, part->ops, part->n_ops);
+      lc__wire__view_snapshot_part__free_unpacked (part, NULL);
+    }
+}
+
+static bool
+feed_is_subscribed (void *user)
+{
+  return ((Feed *)user)->is_subscribed;
+}
+
+static bool
+feed_has_endpoint (void *user)
+{
+  return ((Feed *)user)->n_endpoints > 0;
+}
+
+static void
+feed_start (Feed *f, h2o_loop_t *loop)
+{
+  LcLinkServerDesc listen = { .loop = loop,
+                              .ipv4 = ADDRESS (90),
+                              .handler = { f, feed_ignore_frame, feed_subscribe, feed_lost } };
+  LcLinkClientDesc connect = { .loop = loop,
+                               .ipv4 = ADDRESS (90),
+                               .handler = { f, feed_on_frame, feed_ignore_up, feed_ignore_down } };
+  LcViewServerDesc desc = { .loop = loop, .view = &f->view };
+  LcError error = { 0 };
+
+  memset (f, 0, sizeof *f);
+  lc_view_init (&f->view);
+  lc_view_server_init (&f->server, &desc);
+  ck_assert_int_eq (lc_link_server_init (&f->listener, &listen, &error), 0);
+  connect.port = lc_link_server_port (&f->listener);
+  lc_link_client_init (&f->client, &connect);
+  ck_assert (fake_run_until (loop, feed_is_subscribed, f, PATIENCE_MS));
+}
+
+static void
+feed_finish (Feed *f)
+{
+  lc_link_client_finish (&f->client);
+  lc_link_server_finish (&f->listener);
+  lc_view_server_finish (&f->server);
+  lc_view_finish (&f->view);
+}
+
+/* The data centre, the service and then, at revision 4, an endpoint. */
+static LcViewOp
+feed_op (LcRevision revision)
+{
+  LcViewOp op = { .revision = revision };
+
+  switch (revision)
+    {
+    case 1:
+      op.kind = LC_VIEW_DC;
+      op.dc.id = 1;
+      (void)g_strlcpy (op.dc.name, "hall-atl", sizeof op.dc.name);
+      break;
+    case 2:
+    case 3:
+      op.kind = LC_VIEW_SERVICE;
+      op.service.id = (LcServiceId)revision;
+      (void)g_strlcpy (op.service.name, revision == 2 ? "order-desk" : "ticket-vault",
+                       sizeof op.service.name);
+      break;
+    default:
+      op.kind = LC_VIEW_ENDPOINT;
+      op.endpoint = (LcEndpoint){ .id = 7, .instance = 70, .dc = 1, .state = LC_ENDPOINT_JOINING };
+      op.endpoint.service_id = 2;
+      (void)g_strlcpy (op.endpoint.name, "order-0", sizeof op.endpoint.name);
+      break;
+    }
+  return op;
+}
+
+/* A subscriber that is ahead of its server gets what comes after all the same: the server has not
+ * seen the operations from which the scope learns ids when it subscribes, however it gets them. */
+START_TEST (test_subscriber_ahead_of_its_server)
+{
+  static const bool by_snapshot[] = { true, false };
+  h2o_loop_t *loop = h2o_evloop_create ();
+  Feed f;
+
+  feed_start (&f, loop);
+  for (LcRevision revision = 1; revision <= 4; revision++)
+    {
+      LcViewOp op = feed_op (revision);
+      LcError error = { 0 };
+
+      ck_assert_int_eq (lc_view_apply (&f.view, &op, &error), 0);
+      lc_view_advance (&f.view, revision);
+      if (revision == 4 || !by_snapshot[_i])
+        lc_view_server_publish (&f.server, &op, 1);
+      else if (revision == 3)
+        lc_view_server_reset (&f.server);
+      fake_run_for (loop, 20);
+    }
+  ck_assert (fake_run_until (loop, feed_has_endpoint, &f, PATIENCE_MS));
+  feed_finish (&f);
+  h2o_evloop_run (loop, 1);
+}
+END_TEST
+
 /* === conditions ============================================================================= */
 
 static uint32_t
@@ -458,6 +642,10 @@
   tcase_add_test (tc, test_relays);
   tcase_add_test (tc, test_bad_frames_are_counted);
   suite_add_tcase (suite, tc);
+  tc = tcase_create ("feed");
+  tcase_set_timeout (tc, 60);
+  tcase_add_loop_test (tc, test_subscriber_ahead_of_its_server, 0, 2);
+  suite_add_tcase (suite, tc);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
