One piece where two stood: member by address, packed addresses, control lists, drop lines, settings rows

Read again as a whole, the change had written several things twice: - a control member by its peer address was looked for by three loops; all but the one that wants several call lc_raft_config_find_address; - an address packed into one number stood in five places, the list of control VMs in a status was packed by two senders and bounded by three constants; lc_address_pack, lc_wire_member_control_write/read and LC_CONTROL_VMS_MAX; - the agent's reset line had its own fields beside lc_flow_meter_log, which now takes the reason as text; it names the service's address with that; - the row of packet_format, the load of a pick target, the weight of an agent's flows, and the two ways of giving a first packet on; - may_wait and is_connecting of the attempt filter were one loop with one more condition.

No message, setting or decision changes.

--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -56,8 +56,7 @@
     {
       lc_agent_flow__reset (plane, &packet);
       if (lc_log_allow (&plane->drop_limit, now_us, LC_AGENT_FLOW_LOG_PER_S))
-        LC_WARN ("flow.reset", "reason", LC_STR ("every backend server denied it"), "caller_ipv4",
-                 LC_U64 (packet.key.source_ipv4), "caller_port", LC_U64 (packet.key.source_port));
+        lc_flow_meter_log ("flow.reset", "every backend server denied it", &packet.key);
     }
 }
 
@@ -200,7 +199,7 @@
     }
   if (lc_log_allow (&plane->drop_limit, now_us, LC_AGENT_FLOW_LOG_PER_S))
     lc_flow_meter_log (action->kind == LC_FLOW_ACTION_RESET ? "flow.reset" : "flow.dropped",
-                       action->reason, &packet->key);
+                       lc_drop_reason_name (action->reason), &packet->key);
 }
 
 static void
--- a/src/balancer/lc-balancer-agents.c
+++ b/src/balancer/lc-balancer-agents.c
@@ -259,7 +259,7 @@
 LcBalancerPeer *
 lc_balancer_request__peer (LcBalancerRequest *plane, LcEndpointId id, uint32_t ipv4, uint16_t port)
 {
-  uint64_t key = ((uint64_t)ipv4 << 16) | port;
+  uint64_t key = lc_address_pack (ipv4, port);
   LcBalancerPeer *peer = g_hash_table_lookup (plane->peers, &key);
   LcLinkClientDesc desc = { .loop = plane->desc.app->loop,
                             .ipv4 = ipv4,
--- a/src/balancer/lc-balancer-flow.c
+++ b/src/balancer/lc-balancer-flow.c
@@ -19,7 +19,7 @@
 {
   plane->dropped_total[reason]++;
   if (lc_log_allow (&plane->drop_limit, lc_clock_now_us (), LC_BALANCER_FLOW_LOG_PER_S))
-    lc_flow_meter_log ("flow.dropped", reason, key);
+    lc_flow_meter_log ("flow.dropped", lc_drop_reason_name (reason), key);
 }
 
 static LcPacketFormat
--- a/src/balancer/lc-balancer-settings.h
+++ b/src/balancer/lc-balancer-settings.h
@@ -4,11 +4,6 @@
 
 #include "io/lc-settings.h"
 
-enum
-{
-  LC_BALANCER_MAX_CONTROL = 20,
-};
-
 typedef struct
 {
   char name[LC_NAME_MAX];
@@ -19,9 +14,9 @@
   uint16_t http_port;
   uint16_t admin_port;
   uint32_t n_control;
-  LcSocketAddress control[LC_BALANCER_MAX_CONTROL]; /* peer addresses of lychee-control */
-  uint16_t control_peer_port;                       /* 0: as in `control` */
-  uint32_t packet_format;                           /* LcPacketFormat */
+  LcSocketAddress control[LC_CONTROL_VMS_MAX]; /* peer addresses of lychee-control */
+  uint16_t control_peer_port;                  /* 0: as in `control` */
+  uint32_t packet_format;                      /* LcPacketFormat */
   uint32_t drain_limit_ms;
   uint32_t connect_timeout_ms;
   uint32_t reconnect_max_ms;
--- a/src/control/lc-distributor.c
+++ b/src/control/lc-distributor.c
@@ -14,8 +14,7 @@
 enum
 {
   LC_DISTRIBUTOR_TICK_MS = 100,
-  LC_DISTRIBUTOR_CONTROL_MAX = 20, /* control VMs at most */
-  LC_DISTRIBUTOR_SOON_MS = 2,      /* announcements that come together are proposed together */
+  LC_DISTRIBUTOR_SOON_MS = 2, /* announcements that come together are proposed together */
   LC_DISTRIBUTOR_SETTLE_MS = 200,
   LC_DISTRIBUTOR_PENDING_MS = 900, /* an equal proposal waits so long: below the resend time */
   LC_DISTRIBUTOR_SEED_MS = 500,
@@ -158,14 +157,13 @@
 {
   Lc__Wire__MemberStatus status = LC__WIRE__MEMBER_STATUS__INIT;
   int64_t age_us = lc_distributor__age_us (d, now_us);
-  LcSocketAddress known[LC_DISTRIBUTOR_CONTROL_MAX];
-  uint64_t control[LC_DISTRIBUTOR_CONTROL_MAX];
+  LcSocketAddress known[LC_CONTROL_VMS_MAX];
+  uint64_t control[LC_CONTROL_VMS_MAX];
+  uint32_t n_known = 0;
 
   if (d->desc.control != NULL)
-    status.n_control = d->desc.control (d->desc.user, known, LC_DISTRIBUTOR_CONTROL_MAX);
-  status.control = control;
-  for (size_t i = 0; i < status.n_control; i++)
-    control[i] = ((uint64_t)known[i].ipv4 << 16) | known[i].port;
+    n_known = d->desc.control (d->desc.user, known, LC_CONTROL_VMS_MAX);
+  lc_wire_member_control_write (&status, control, known, n_known);
   status.revision = d->desc.view->revision;
   status.is_leader = d->desc.is_leader (d->desc.user);
   status.needs_hello = needs_hello;
@@ -206,17 +204,16 @@
   LcError error = { 0 };
   LcMemberChange change;
 
-  if (hello->member != NULL && lc_wire_member_change_read (&change, hello->member, &error) == 0 &&
-      change.kind == LC_MEMBER_ENDPOINT_ANNOUNCED)
+  if (hello->member == NULL || lc_wire_member_change_read (&change, hello->member, &error) < 0 ||
+      (change.kind != LC_MEMBER_BALANCER_ANNOUNCED && change.kind != LC_MEMBER_ENDPOINT_ANNOUNCED))
     {
-      /* An agent that looks for balancers: it gets its view here, and its lease from them. */
-      lc_distributor__send_status (d, link, false, now_us);
+      lc_distributor__malformed (d, "hello", &error);
       return;
     }
-  if (hello->member == NULL || lc_wire_member_change_read (&change, hello->member, &error) < 0 ||
-      change.kind != LC_MEMBER_BALANCER_ANNOUNCED)
+  if (change.kind == LC_MEMBER_ENDPOINT_ANNOUNCED)
     {
-      lc_distributor__malformed (d, "hello", &error);
+      /* An agent that looks for balancers: it gets its view here, and its lease from them. */
+      lc_distributor__send_status (d, link, false, now_us);
       return;
     }
   lc_watch_announce (&d->watch, &change, now_us);
--- a/src/control/lc-replica-form.c
+++ b/src/control/lc-replica-form.c
@@ -134,12 +134,10 @@
 static bool
 lc_replica__is_wanted (const LcReplica *replica, const LcReplicaPeer *peer)
 {
-  const LcRaftConfig *config = &replica->raft.config;
   const LcControlReplace *replace = &replica->state.replace;
 
-  for (uint32_t i = 0; i < config->n_members; i++)
-    if (config->members[i].ipv4 == peer->ipv4 && config->members[i].peer_port == peer->port)
-      return true;
+  if (lc_raft_config_find_address (&replica->raft.config, peer->ipv4, peer->port) != NULL)
+    return true;
   if (replace->is_active && replace->replacement.ipv4 == peer->ipv4 &&
       replace->replacement.peer_port == peer->port)
     return true;
@@ -179,16 +177,6 @@
     lc_link_client_retarget (&peer->client, ipv4, port);
 }
 
-static bool
-lc_replica__is_member_at (const LcReplica *replica, uint32_t ipv4, uint16_t port)
-{
-  for (uint32_t i = 0; i < replica->raft.config.n_members; i++)
-    if (replica->raft.config.members[i].ipv4 == ipv4 &&
-        replica->raft.config.members[i].peer_port == port)
-      return true;
-  return false;
-}
-
 /* A blank replica that greets is greeted back, so that it is known where it stands by. */
 void
 lc_replica__on_hello (LcReplica *replica, LcLink *link, const LcFrame *frame)
@@ -202,7 +190,8 @@
       return;
     }
   if (m->replica != replica->id && m->ipv4 != 0 && m->port != 0 && m->port <= UINT16_MAX &&
-      (m->cluster == 0 || lc_replica__is_member_at (replica, m->ipv4, (uint16_t)m->port)))
+      (m->cluster == 0 ||
+       lc_raft_config_find_address (&replica->raft.config, m->ipv4, (uint16_t)m->port) != NULL))
     lc_replica__reach_back (replica, m->ipv4, (uint16_t)m->port);
   lc__wire__control_hello__free_unpacked (m, NULL);
   lc_replica__answer_hello (replica, link);
--- a/src/controller/lc-member-serve.c
+++ b/src/controller/lc-member-serve.c
@@ -54,17 +54,15 @@
 {
   Lc__Wire__MemberStatus status = LC__WIRE__MEMBER_STATUS__INIT;
   int64_t silence_us = lc_member_silence_us (member, now_us);
-  LcSocketAddress known[LC_MEMBER_MAX_CONTROL];
-  uint64_t control[LC_MEMBER_MAX_CONTROL];
+  LcSocketAddress known[LC_CONTROL_VMS_MAX];
+  uint64_t control[LC_CONTROL_VMS_MAX];
 
   status.revision = member->sync.view.revision;
   status.needs_hello = needs_hello;
   status.control_age_ms = silence_us >= 0 ? (uint64_t)(silence_us / LC_US_PER_MS) : UINT32_MAX;
   status.is_confirmed = member->is_confirmed;
-  status.n_control = lc_member_control (member, known, LC_MEMBER_MAX_CONTROL);
-  status.control = control;
-  for (size_t i = 0; i < status.n_control; i++)
-    control[i] = ((uint64_t)known[i].ipv4 << 16) | known[i].port;
+  lc_wire_member_control_write (&status, control, known,
+                                lc_member_control (member, known, LC_CONTROL_VMS_MAX));
   (void)lc_link_send (link, LC_FRAME_MEMBER_STATUS, &status.base);
 }
 
--- a/src/controller/lc-member-upstream.c
+++ b/src/controller/lc-member-upstream.c
@@ -107,7 +107,6 @@
   change->balancer = member->desc.balancer;
 }
 
-/* A member that is held says that it listens by a renewal: it is not known, but answered. */
 static void
 lc_member__send_hello (LcMemberSlot *slot, LcLink *link)
 {
@@ -327,24 +326,13 @@
 
 /* === private: other frames from upstream ==================================================== */
 
-static void
-lc_member__read_control (LcMember *member, const Lc__Wire__MemberStatus *status)
-{
-  LcSocketAddress list[LC_MEMBER_MAX_CONTROL];
-  uint32_t n = (uint32_t)MIN (status->n_control, (size_t)LC_MEMBER_MAX_CONTROL);
-
-  for (uint32_t i = 0; i < n; i++)
-    list[i] = (LcSocketAddress){ .ipv4 = (uint32_t)(status->control[i] >> 16),
-                                 .port = (uint16_t)status->control[i] };
-  lc_member_learn_control (member, list, n);
-}
-
 static void
 lc_member__on_status (LcMemberSlot *slot, const LcFrame *frame, int64_t now_us)
 {
   LcMember *member = slot->member;
   Lc__Wire__MemberStatus *status =
       lc__wire__member_status__unpack (NULL, frame->payload_len, frame->payload);
+  LcSocketAddress control[LC_CONTROL_VMS_MAX];
 
   if (status == NULL)
     return;
@@ -363,7 +351,7 @@
     }
   if (status->is_confirmed && slot->is_subscribed && member->sync.view.revision > 0)
     member->is_confirmed = true;
-  lc_member__read_control (member, status);
+  lc_member_learn_control (member, control, lc_wire_member_control_read (control, status));
   if (status->needs_hello && !member->is_held)
     lc_member__send_hello (slot, lc_member__link (slot));
   lc__wire__member_status__free_unpacked (status, NULL);
@@ -421,6 +409,7 @@
   slot->opened_us = now_us;
   slot->subscribe_at_us = 0;
   slot->renew_at_us = 0;
+  /* A member that is held says that it listens by a renewal: it is not known, but answered. */
   if (slot->member->is_held)
     lc_member__send_renew (slot, LC_MEMBER_PHASE_LIVE, now_us);
   else
--- a/src/controller/lc-member.c
+++ b/src/controller/lc-member.c
@@ -106,10 +106,10 @@
     return lc_error_set (error, LC_ERR_INVALID,
                          "name at least one upstream (`balancers` or `control`) in the settings",
                          "no upstream is named");
-  if (desc->kind == LC_MEMBER_BALANCER && desc->n_upstreams > LC_MEMBER_MAX_CONTROL)
+  if (desc->kind == LC_MEMBER_BALANCER && desc->n_upstreams > LC_CONTROL_VMS_MAX)
     return lc_error_set (error, LC_ERR_INVALID, "name fewer control VMs",
                          "%u control VMs are named, at most %d can be", desc->n_upstreams,
-                         LC_MEMBER_MAX_CONTROL);
+                         LC_CONTROL_VMS_MAX);
   return 0;
 }
 
@@ -126,7 +126,7 @@
   member->is_held = desc->is_held;
   member->balancers_seen_revision = -1;
   member->started_us = lc_clock_now_us ();
-  member->first_moving = desc->kind == LC_MEMBER_AGENT ? 0 : LC_MEMBER_MAX_CONTROL;
+  member->first_moving = desc->kind == LC_MEMBER_AGENT ? 0 : LC_CONTROL_VMS_MAX;
   member->n_slots = member->first_moving + LC_MEMBER_MOVING_SLOTS;
   for (uint32_t i = 0; i < member->n_slots; i++)
     {
@@ -134,7 +134,7 @@
       if (i < desc->n_upstreams)
         member->slots[i].address = desc->upstreams[i];
     }
-  member->n_seeds = MIN (desc->n_upstreams, LC_MEMBER_MAX_CONTROL);
+  member->n_seeds = MIN (desc->n_upstreams, LC_CONTROL_VMS_MAX);
   memcpy (member->seeds, desc->upstreams, member->n_seeds * sizeof *member->seeds);
   lc_view_sync_init (&member->sync);
   lc_upstreams_init (&member->upstreams, lc_member__name (member));
@@ -241,7 +241,7 @@
 static uint32_t
 lc_member__seed_place (const LcMember *member, int64_t now_us)
 {
-  if (member->n_seeds < LC_MEMBER_MAX_CONTROL)
+  if (member->n_seeds < LC_CONTROL_VMS_MAX)
     return member->n_seeds;
   for (uint32_t i = 0; member->desc.kind == LC_MEMBER_BALANCER && i < member->first_moving; i++)
     if (!lc_member__is_usable (&member->slots[i], now_us))
--- a/src/controller/lc-member.h
+++ b/src/controller/lc-member.h
@@ -48,9 +48,8 @@
 
 enum
 {
-  LC_MEMBER_MAX_CONTROL = 20, /* control VMs of a balancer */
   LC_MEMBER_MOVING_SLOTS = 2, /* watchers of an agent, relays of a balancer */
-  LC_MEMBER_MAX_SLOTS = LC_MEMBER_MAX_CONTROL + LC_MEMBER_MOVING_SLOTS,
+  LC_MEMBER_MAX_SLOTS = LC_CONTROL_VMS_MAX + LC_MEMBER_MOVING_SLOTS,
 };
 
 typedef struct
@@ -100,9 +99,9 @@
 {
   LcMemberDesc desc;
   LcViewSync sync;
-  LcUpstreams upstreams;                        /* agents: balancers; balancers: control VMs */
-  LcUpstreams relays;                           /* balancers: the relays of their data centre */
-  LcSocketAddress seeds[LC_MEMBER_MAX_CONTROL]; /* of the settings */
+  LcUpstreams upstreams;                     /* agents: balancers; balancers: control VMs */
+  LcUpstreams relays;                        /* balancers: the relays of their data centre */
+  LcSocketAddress seeds[LC_CONTROL_VMS_MAX]; /* of the settings */
   uint32_t n_seeds;
   LcMemberSlot slots[LC_MEMBER_MAX_SLOTS];
   uint32_t n_slots;
--- a/src/core/control/lc-heal.c
+++ b/src/core/control/lc-heal.c
@@ -39,15 +39,6 @@
   return NULL;
 }
 
-static bool
-lc_heal__is_address_of (const LcRaftConfig *config, const LcHealSeen *s)
-{
-  for (uint32_t i = 0; i < config->n_members; i++)
-    if (config->members[i].ipv4 == s->ipv4 && config->members[i].peer_port == s->port)
-      return true;
-  return false;
-}
-
 /* === private: changes ======================================================================= */
 
 static bool
@@ -145,7 +136,7 @@
   for (uint32_t i = 0; i < n_seen; i++)
     if (seen[i].is_blank && seen[i].silent_us <= LC_HEAL_HERE_US &&
         lc_raft_config_find (config, seen[i].id) == NULL &&
-        !lc_heal__is_address_of (config, &seen[i]))
+        lc_raft_config_find_address (config, seen[i].ipv4, seen[i].port) == NULL)
       return &seen[i];
   return NULL;
 }
--- a/src/core/control/lc-raft-types.c
+++ b/src/core/control/lc-raft-types.c
@@ -117,6 +117,15 @@
   return NULL;
 }
 
+const LcRaftMember *
+lc_raft_config_find_address (const LcRaftConfig *config, uint32_t ipv4, uint16_t peer_port)
+{
+  for (uint32_t i = 0; i < config->n_members; i++)
+    if (config->members[i].ipv4 == ipv4 && config->members[i].peer_port == peer_port)
+      return &config->members[i];
+  return NULL;
+}
+
 uint32_t
 lc_raft_config_n_voters (const LcRaftConfig *config)
 {
--- a/src/core/control/lc-raft-types.h
+++ b/src/core/control/lc-raft-types.h
@@ -179,6 +179,9 @@
   int lc_raft_config_decode (LcRaftConfig *config, const uint8_t *bytes, size_t len);
   const LcRaftMember *lc_raft_config_find (const LcRaftConfig *config, LcReplicaId id);
   const LcRaftMember *lc_raft_config_find_name (const LcRaftConfig *config, const char *name);
+  /* The member whose peer address this is, or NULL. */
+  const LcRaftMember *
+  lc_raft_config_find_address (const LcRaftConfig *config, uint32_t ipv4, uint16_t peer_port);
   uint32_t lc_raft_config_n_voters (const LcRaftConfig *config);
   bool lc_raft_config_is_voter (const LcRaftConfig *config, LcReplicaId id);
   /* Adds or replaces, keeping the order; LC_ERR_FULL. */
--- a/src/core/filter/lc-filter-attempt.c
+++ b/src/core/filter/lc-filter-attempt.c
@@ -26,30 +26,17 @@
   return lc_pick_choose (planning->pick, planning->random, tried, n_tried, planning->now_us);
 }
 
-/* Whether an endpoint not tried yet may become reachable. */
+/* Whether an endpoint not tried yet may become reachable; `is_soon`: within moments, since its link
+ * is being made. */
 static bool
-lc_filter_attempt__may_wait (const LcAttemptPlanning *planning)
+lc_filter_attempt__may_wait (const LcAttemptPlanning *planning, bool is_soon)
 {
   for (uint32_t i = 0; i < planning->pick->n_targets; i++)
     {
       const LcPickTarget *target = &planning->pick->targets[i];
 
       if (!target->is_reachable && !target->is_draining &&
-          !lc_attempt_has_tried (planning->attempt, target->ref.instance))
-        return true;
-    }
-  return false;
-}
-
-/* Whether the link of an endpoint not tried yet will be up within moments. */
-static bool
-lc_filter_attempt__is_connecting (const LcAttemptPlanning *planning)
-{
-  for (uint32_t i = 0; i < planning->pick->n_targets; i++)
-    {
-      const LcPickTarget *target = &planning->pick->targets[i];
-
-      if (lc_pick_is_connecting (target, planning->now_us) &&
+          (!is_soon || lc_pick_is_connecting (target, planning->now_us)) &&
           !lc_attempt_has_tried (planning->attempt, target->ref.instance))
         return true;
     }
@@ -66,11 +53,11 @@
   target = lc_filter_attempt__choose (planning);
   /* All that wait when the first of several links is up would queue at that one endpoint. */
   if (target != NULL && lc_pick_is_full (planning->pick, target, planning->now_us) &&
-      lc_filter_attempt__is_connecting (planning))
+      lc_filter_attempt__may_wait (planning, true))
     return (LcAttemptPlan){ .kind = LC_PLAN_WAIT };
   if (target != NULL)
     return lc_filter_attempt__send (target);
-  if (lc_filter_attempt__may_wait (planning))
+  if (lc_filter_attempt__may_wait (planning, false))
     return (LcAttemptPlan){ .kind = LC_PLAN_WAIT };
   return lc_filter_attempt__end (LC_REFUSE_NO_ENDPOINT);
 }
@@ -104,7 +91,7 @@
     return lc_filter_attempt__owner (planning, step->owner);
   target = lc_filter_attempt__choose (planning);
   if (target == NULL && step->reason == LC_REFUSE_LINK_LOST &&
-      lc_filter_attempt__may_wait (planning) && lc_retry_take (planning->budget))
+      lc_filter_attempt__may_wait (planning, false) && lc_retry_take (planning->budget))
     return (LcAttemptPlan){ .kind = LC_PLAN_WAIT }; /* links are being made again */
   if (target == NULL)
     return lc_filter_attempt__end (step->reason);
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -427,10 +427,17 @@
 }
 
 /* Whether the count has moved by so much since it was told that assigners would err by it. */
+/* What others compare it by, in flows: one at work weighs more than one that is open. */
+static uint32_t
+lc_flow_agent__weight (const LcFlowAgent *a)
+{
+  return lc_flow_agent_open_flows (a) + a->n_at_work * a->desc.assign.work_weight;
+}
+
 static bool
 lc_flow_agent__has_changed (const LcFlowAgent *a)
 {
-  uint32_t open = lc_flow_agent_open_flows (a) + a->n_at_work * a->desc.assign.work_weight;
+  uint32_t open = lc_flow_agent__weight (a);
   uint32_t moved = open > a->told_flows ? open - a->told_flows : a->told_flows - open;
 
   return (uint64_t)moved * 1000 > (uint64_t)a->told_flows * LC_FLOW_TELL_PERMILLE;
@@ -446,7 +453,7 @@
   if (n == 0 || (now_us < a->next_load_us &&
                  (now_us - a->told_us < a->desc.tell_min_us || !lc_flow_agent__has_changed (a))))
     return;
-  a->told_flows = lc_flow_agent_open_flows (a) + a->n_at_work * a->desc.assign.work_weight;
+  a->told_flows = lc_flow_agent__weight (a);
   a->told_us = now_us;
   a->next_load_us = now_us + a->desc.load_interval_us;
   for (uint32_t k = 0; k < n && told < a->desc.load_fanout; k++)
--- a/src/core/flow/lc-flow-balancer.c
+++ b/src/core/flow/lc-flow-balancer.c
@@ -147,9 +147,14 @@
 void
 lc_flow_balancer_mark_suspects (LcFlowBalancer *b, const LcReach *reach, int64_t now_us)
 {
+  bool has_suspects = lc_reach_has_suspects (reach, now_us);
   GHashTableIter iter;
   gpointer value;
 
+  /* Mostly there are none, and none is marked: not every endpoint is looked at each time. */
+  if (!has_suspects && !b->has_suspects)
+    return;
+  b->has_suspects = has_suspects;
   g_hash_table_iter_init (&iter, b->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/src/core/flow/lc-flow-balancer.h
+++ b/src/core/flow/lc-flow-balancer.h
@@ -47,6 +47,7 @@
     LcFlowBalancerEntry *entries; /* owned; direct-mapped by address */
     LcDcId dc;
     bool is_cut_off;
+    bool has_suspects; /* some member of a set is marked as suspect */
     bool is_returning; /* backend servers return what they do not hold: lc-flow-return.h */
     uint32_t turn;
   } LcFlowBalancer;
--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -183,12 +183,10 @@
   lc_flow_table_remove (&a->table, f);
 }
 
-/* To another endpoint, chosen here. */
+/* A first packet that is not for this endpoint: to another one, chosen here. */
 static LcFlowAction
-lc_flow_return__give_on (
-    LcFlowAgent *a, LcEnvelope *e, LcFlow *f, const LcPacket *packet, int64_t now_us)
+lc_flow_return__give_on (LcFlowAgent *a, LcEnvelope *e, const LcPacket *packet, int64_t now_us)
 {
-  lc_flow_return__disown (a, f);
   e->mode = LC_MODE_REFUSED;
   e->stray_id = a->desc.self.id;
   e->stray_instance = a->desc.self.instance;
@@ -233,7 +231,10 @@
     return lc_flow_agent__drop (a, LC_DROP_WRONG_INSTANCE);
   a->arrival_dc = e->dc;
   if (lc_flow_return__is_unanswered (f, packet))
-    return lc_flow_return__give_on (a, e, f, packet, now_us);
+    {
+      lc_flow_return__disown (a, f);
+      return lc_flow_return__give_on (a, e, packet, now_us);
+    }
   if (lc_flow_return__is_owned (a, f, packet))
     {
       lc_flow_return__remind_homes (a, f, e);
@@ -290,13 +291,10 @@
   if (packet->mark <= LC_FLOW_RETURN_HOPS || packet->mark > LC_ENVELOPE_HOPS)
     return lc_flow_return__fail (lc_flow_agent__drop (a, LC_DROP_LIMIT), packet);
   lc_flow_return_search (a, &a->desc.self, e);
-  e->mode = LC_MODE_REFUSED;
   e->hops_left = (uint8_t)(packet->mark - LC_FLOW_RETURN_HOPS);
   e->dc = a->dc;
   a->arrival_dc = a->dc;
-  e->stray_id = a->desc.self.id;
-  e->stray_instance = a->desc.self.instance;
-  return lc_flow_return__assign (a, e, NULL, packet, now_us);
+  return lc_flow_return__give_on (a, e, packet, now_us);
 }
 
 void
--- a/src/core/flow/lc-reach.c
+++ b/src/core/flow/lc-reach.c
@@ -13,16 +13,10 @@
 
 /* === private ================================================================================ */
 
-static uint64_t
-lc_reach__key (uint32_t ipv4, uint16_t port)
-{
-  return ((uint64_t)ipv4 << 16) | port;
-}
-
 static LcReachAgent *
 lc_reach__find (const LcReach *r, uint32_t ipv4, uint16_t port)
 {
-  uint64_t key = lc_reach__key (ipv4, port);
+  uint64_t key = lc_address_pack (ipv4, port);
 
   return g_hash_table_lookup (r->agents, &key);
 }
@@ -61,7 +55,7 @@
 lc_reach_used (LcReach *r, const LcCandidate *to, int64_t now_us)
 {
   LcReachAgent *a = lc_reach__find (r, to->ipv4, to->port);
-  uint64_t key = lc_reach__key (to->ipv4, to->port);
+  uint64_t key = lc_address_pack (to->ipv4, to->port);
 
   if (a == NULL)
     {
@@ -126,6 +120,19 @@
   return g_hash_table_size (r->agents) > 0;
 }
 
+bool
+lc_reach_has_suspects (const LcReach *r, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, r->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (lc_reach__is_late (value, now_us))
+      return true;
+  return false;
+}
+
 bool
 lc_reach_is_suspect (const LcReach *r, uint32_t ipv4, uint16_t port, int64_t now_us)
 {
--- a/src/core/flow/lc-reach.h
+++ b/src/core/flow/lc-reach.h
@@ -59,6 +59,8 @@
   /* Whether no agent that was in use answers: this balancer is cut off from them, rather than all
    * of them dead.  They are then probed on, although no packet goes there. */
   bool lc_reach_is_alone (LcReach *reach, int64_t now_us);
+  /* Whether any agent is suspect now. */
+  bool lc_reach_has_suspects (const LcReach *reach, int64_t now_us);
   bool lc_reach_is_suspect (const LcReach *reach, uint32_t ipv4, uint16_t port, int64_t now_us);
 
 #ifdef __cplusplus
--- a/src/core/lc-types.h
+++ b/src/core/lc-types.h
@@ -30,14 +30,22 @@
 
   enum
   {
-    LC_NAME_MAX = 48,  /* bytes of a name with its final NUL */
-    LC_PATH_MAX = 96,  /* bytes of a route's host or path prefix with its final NUL */
-    LC_CANDIDATES = 4, /* endpoints in a packet's candidate list */
+    LC_NAME_MAX = 48,        /* bytes of a name with its final NUL */
+    LC_PATH_MAX = 96,        /* bytes of a route's host or path prefix with its final NUL */
+    LC_CANDIDATES = 4,       /* endpoints in a packet's candidate list */
+    LC_CONTROL_VMS_MAX = 20, /* control VMs that a node may know */
   };
 
 #define LC_US_PER_MS INT64_C (1000)
 #define LC_US_PER_S INT64_C (1000000)
 
+  /* An address and port as one number, for tables and messages. */
+  static inline uint64_t
+  lc_address_pack (uint32_t ipv4, uint16_t port)
+  {
+    return ((uint64_t)ipv4 << 16) | port;
+  }
+
   /* An endpoint's state in the view.  Only JOINING and ACTIVE endpoints are candidates. */
   typedef enum
   {
--- a/src/core/member/lc-upstreams.c
+++ b/src/core/member/lc-upstreams.c
@@ -6,7 +6,7 @@
 static uint64_t
 lc_upstreams__score (uint64_t seed, uint32_t ipv4, uint16_t port)
 {
-  uint64_t address = ((uint64_t)ipv4 << 16) | port;
+  uint64_t address = lc_address_pack (ipv4, port);
 
   return XXH64 (&address, sizeof address, seed);
 }
--- a/src/core/request/lc-pick.c
+++ b/src/core/request/lc-pick.c
@@ -78,13 +78,20 @@
   return others - others * rest_us / pick->desc.half_life_us / 2;
 }
 
+/* All that it has, ours and others'; in 1/256 of a request. */
+static int64_t
+lc_pick__load (const LcPick *pick, const LcPickTarget *target, int64_t now_us)
+{
+  return (int64_t)target->outstanding * 256 + lc_pick__others (pick, target, now_us);
+}
+
 int64_t
 lc_pick_score (const LcPick *pick, const LcPickTarget *target, int64_t now_us)
 {
   int64_t service_us = target->service_us > 0 ? target->service_us : LC_PICK_SERVICE_US;
   int64_t ramp = lc_pick__ramp_percent (pick, target, now_us);
   int64_t capacity = (int64_t)target->slots * 256 * target->weight_percent * ramp / 10000;
-  int64_t load = (int64_t)target->outstanding * 256 + lc_pick__others (pick, target, now_us);
+  int64_t load = lc_pick__load (pick, target, now_us);
   int64_t over = load + 256 - capacity;
   int64_t score;
 
@@ -262,9 +269,7 @@
 bool
 lc_pick_is_full (const LcPick *pick, const LcPickTarget *target, int64_t now_us)
 {
-  int64_t load = (int64_t)target->outstanding * 256 + lc_pick__others (pick, target, now_us);
-
-  return load >= (int64_t)target->slots * 256;
+  return lc_pick__load (pick, target, now_us) >= (int64_t)target->slots * 256;
 }
 
 void
@@ -278,8 +283,7 @@
 bool
 lc_pick_is_connecting (const LcPickTarget *target, int64_t now_us)
 {
-  return !target->is_reachable && !target->is_draining && target->connecting_us != 0 &&
-         now_us - target->connecting_us < LC_PICK_CONNECT_US;
+  return target->connecting_us != 0 && now_us - target->connecting_us < LC_PICK_CONNECT_US;
 }
 
 void
--- a/src/io/lc-flow-meter.c
+++ b/src/io/lc-flow-meter.c
@@ -45,9 +45,9 @@
 }
 
 void
-lc_flow_meter_log (const char *event, LcDropReason reason, const LcFlowKey *key)
+lc_flow_meter_log (const char *event, const char *reason, const LcFlowKey *key)
 {
-  LC_WARN (event, "reason", LC_STR (lc_drop_reason_name (reason)), "caller_ipv4",
-           LC_U64 (key->source_ipv4), "caller_port", LC_U64 (key->source_port), "service_ipv4",
-           LC_U64 (key->target_ipv4), "service_port", LC_U64 (key->target_port));
+  LC_WARN (event, "reason", LC_STR (reason), "caller_ipv4", LC_U64 (key->source_ipv4),
+           "caller_port", LC_U64 (key->source_port), "service_ipv4", LC_U64 (key->target_ipv4),
+           "service_port", LC_U64 (key->target_port));
 }
--- a/src/io/lc-flow-meter.h
+++ b/src/io/lc-flow-meter.h
@@ -47,6 +47,6 @@
 
 /* Logs what became of a packet ("flow.dropped", "flow.reset"), why, and of which flow: the caller's
  * address and port and the service's.  The caller of this limits the rate (lc_log_allow). */
-void lc_flow_meter_log (const char *event, LcDropReason reason, const LcFlowKey *key);
+void lc_flow_meter_log (const char *event, const char *reason, const LcFlowKey *key);
 
 #endif /* LC_FLOW_METER_H */
--- a/src/io/lc-settings-common.h
+++ b/src/io/lc-settings-common.h
@@ -10,6 +10,7 @@
 #ifndef LC_SETTINGS_COMMON_H
 #define LC_SETTINGS_COMMON_H
 
+#include "lc-packet-format.h"
 #include "lc-settings.h"
 
 #define LC_SETTING_ROW_NAME(type, meaning)                                                         \
@@ -46,4 +47,11 @@
             "price of more attempts by everybody while it is away"                                 \
   }
 
+#define LC_SETTING_ROW_PACKET_FORMAT(type)                                                         \
+  {                                                                                                \
+    .path = "packet_format", .kind = LC_SETTING_CHOICE, .offset = offsetof (type, packet_format),  \
+    .choices = LC_PACKET_FORMAT_NAMES, .default_u64 = LC_PACKET_IPV4,                              \
+    .help = "packets of callers: raw IPv4, or a head whose flows the backend server answers for"   \
+  }
+
 #endif /* LC_SETTINGS_COMMON_H */
--- a/src/io/lc-wire-member.c
+++ b/src/io/lc-wire-member.c
@@ -143,6 +143,30 @@
   return r < 0 ? r : lc_wire_member__copy (scope->data_centre, message->data_centre, error);
 }
 
+void
+lc_wire_member_control_write (Lc__Wire__MemberStatus *message,
+                              uint64_t packed[LC_CONTROL_VMS_MAX],
+                              const LcSocketAddress *list,
+                              uint32_t n)
+{
+  message->control = packed;
+  message->n_control = n;
+  for (uint32_t i = 0; i < n; i++)
+    packed[i] = lc_address_pack (list[i].ipv4, list[i].port);
+}
+
+uint32_t
+lc_wire_member_control_read (LcSocketAddress list[LC_CONTROL_VMS_MAX],
+                             const Lc__Wire__MemberStatus *message)
+{
+  uint32_t n = (uint32_t)MIN (message->n_control, (size_t)LC_CONTROL_VMS_MAX);
+
+  for (uint32_t i = 0; i < n; i++)
+    list[i] = (LcSocketAddress){ .ipv4 = (uint32_t)(message->control[i] >> 16),
+                                 .port = (uint16_t)message->control[i] };
+  return n;
+}
+
 static const ProtobufCMessageDescriptor *
 lc_wire_member__descriptor (uint16_t type, bool takes_queries)
 {
--- a/src/io/lc-wire-member.h
+++ b/src/io/lc-wire-member.h
@@ -16,6 +16,7 @@
 #include "core/member/lc-member-change.h"
 #include "core/member/lc-scope.h"
 #include "lc-frame.h"
+#include "lc-settings.h"
 #include "proto/lc-member.pb-c.h"
 
 typedef struct
@@ -42,6 +43,15 @@
                                const Lc__Wire__MemberSubscribe *message,
                                LcError *error);
 
+/* The control VMs that a status names.  `packed` must live as long as the message. */
+void lc_wire_member_control_write (Lc__Wire__MemberStatus *message,
+                                   uint64_t packed[LC_CONTROL_VMS_MAX],
+                                   const LcSocketAddress *list,
+                                   uint32_t n);
+/* Returns how many there are; those above the bound are left out. */
+uint32_t lc_wire_member_control_read (LcSocketAddress list[LC_CONTROL_VMS_MAX],
+                                      const Lc__Wire__MemberStatus *message);
+
 /* What a member sends up: hello, renewal, subscription or report, and where `takes_queries` is set
  * the lease query of another watcher.  NULL: another type, or a payload that does not unpack.  Free
  * it with protobuf_c_message_free_unpacked. */
--- a/tests/platform/test-observe.c
+++ b/tests/platform/test-observe.c
@@ -110,7 +110,7 @@
 static void
 write_drop (const void *user)
 {
-  lc_flow_meter_log ("flow.dropped", LC_DROP_NO_SERVICE, user);
+  lc_flow_meter_log ("flow.dropped", lc_drop_reason_name (LC_DROP_NO_SERVICE), user);
 }
 
 /* The line of a drop names the flow, whatever program wrote it. */
