--- a/tests/control/test_processes.py
+++ b/tests/control/test_processes.py
@@ -9,7 +9,6 @@
 import random
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -18,6 +17,9 @@
 import urllib.error
 import urllib.request
 
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "fakes"))
+from cluster import free_port  # noqa: E402
+
 BUILD = sys.argv.pop(1)
 CONTROL = os.path.join(BUILD, "src/control/lychee-control")
 CLI = os.path.join(BUILD, "src/cli/lychee")
@@ -35,23 +37,13 @@
 }
 
 
-def free_ports(address, count):
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((address, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 class Vm:
     """One control VM: its settings, folder and process."""
 
     def __init__(self, folder, number, net):
         self.name = f"control-{number}"
         self.address = f"127.31.{net}.{number}"
-        self.peer, self.http, self.admin = free_ports(self.address, 3)
+        self.peer, self.http, self.admin = (free_port(self.address) for _ in range(3))
         self.data = os.path.join(folder, f"data-{number}")
         self.settings = os.path.join(folder, f"{self.name}.json")
         self.log = open(os.path.join(folder, f"{self.name}.log"), "ab")
@@ -85,7 +77,7 @@
 
     def __init__(self, folder, net, control):
         self.address = f"127.31.{net}.9"
-        peer, flow, http, self.admin = free_ports(self.address, 4)
+        peer, flow, http, self.admin = (free_port(self.address) for _ in range(4))
         settings = os.path.join(folder, "lb-1.json")
         with open(settings, "w", encoding="utf-8") as out:
             json.dump({"name": "lb-1", "data_centre": "hall-atl", "address": self.address,
