--- a/tests/adapter/test-declaration.c
+++ b/tests/adapter/test-declaration.c
@@ -1,5 +1,6 @@
 /* Configurations of the users' platform: what is read and what is refused, as a table. */
 #include "platform/lc-platform-declaration.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <string.h>
@@ -127,15 +128,9 @@
 {
   Suite *suite = suite_create ("declaration");
   TCase *tcase = tcase_create ("declaration");
-  SRunner *runner;
-  int failed;
 
   tcase_add_loop_test (tcase, test_read, 0, (int)(sizeof CASES / sizeof CASES[0]));
   tcase_add_test (tcase, test_a_megabyte);
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return lc_fake_run (suite);
 }
--- a/tests/adapter/test-packet-head.c
+++ b/tests/adapter/test-packet-head.c
@@ -1,5 +1,6 @@
 /* The head of the users' platform before a packet: parsing, marks and resets as tables. */
 #include "platform/lc-platform-packet.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <string.h>
@@ -138,17 +139,11 @@
 {
   Suite *suite = suite_create ("packet-head");
   TCase *tcase = tcase_create ("packet-head");
-  SRunner *runner;
-  int failed;
 
   tcase_add_loop_test (tcase, test_parse, 0, (int)(sizeof PARSE / sizeof PARSE[0]));
   tcase_add_test (tcase, test_fields);
   tcase_add_test (tcase, test_mark);
   tcase_add_test (tcase, test_reset);
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return lc_fake_run (suite);
 }
--- a/tests/adapter/test-report.c
+++ b/tests/adapter/test-report.c
@@ -1,5 +1,6 @@
 /* Reports of backend servers: what is read, what is refused, and what late and doubled ones do. */
 #include "platform/lc-platform-report.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <string.h>
@@ -169,16 +170,10 @@
 {
   Suite *suite = suite_create ("report");
   TCase *tcase = tcase_create ("report");
-  SRunner *runner;
-  int failed;
 
   tcase_add_loop_test (tcase, test_read, 0, (int)(sizeof READ / sizeof READ[0]));
   tcase_add_loop_test (tcase, test_orders, 0, (int)(sizeof ORDERS / sizeof ORDERS[0]));
   tcase_add_test (tcase, test_silence);
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return lc_fake_run (suite);
 }
--- a/tests/control/test-control-state.c
+++ b/tests/control/test-control-state.c
@@ -2,6 +2,7 @@
 #include "control/lc-control-codec.h"
 #include "core/control/lc-control-state.h"
 #include "proto/lc-control.pb-c.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <string.h>
@@ -501,8 +502,6 @@
 {
   Suite *suite = suite_create ("control-state");
   TCase *tcase = tcase_create ("commands");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tcase, test_two_operators_on_one_base);
   tcase_add_test (tcase, test_resend_gets_the_first_answer);
@@ -517,9 +516,5 @@
   tcase_add_test (tcase, test_snapshot_holds_everything);
   tcase_add_loop_test (tcase, test_bad_snapshot_is_refused, ANSWER_TWICE, UNKNOWN_PLAN_STATE + 1);
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return lc_fake_run (suite);
 }
--- a/tests/control/test-heal.c
+++ b/tests/control/test-heal.c
@@ -1,5 +1,6 @@
 /* Which member is added, promoted or removed next: a table of what the leader sees. */
 #include "core/control/lc-heal.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <string.h>
@@ -180,14 +181,8 @@
 {
   Suite *suite = suite_create ("heal");
   TCase *tcase = tcase_create ("heal");
-  SRunner *runner;
-  int failed;
 
   tcase_add_loop_test (tcase, test_next, 0, (int)(sizeof CASES / sizeof CASES[0]));
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return lc_fake_run (suite);
 }
--- a/tests/control/test-raft.c
+++ b/tests/control/test-raft.c
@@ -1,5 +1,6 @@
 /* One replica at a time: the rules that random schedules seldom break, each by itself. */
 #include "core/control/lc-raft.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <string.h>
@@ -578,8 +579,6 @@
 {
   Suite *suite = suite_create ("raft");
   TCase *tcase = tcase_create ("rules");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tcase, test_vote_waits_for_its_sync);
   tcase_add_test (tcase, test_candidate_waits_for_its_sync);
@@ -598,9 +597,5 @@
   tcase_add_test (tcase, test_suspended_replica_neither_leads_nor_votes);
   tcase_add_test (tcase, test_contradiction_of_a_commit_is_refused);
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return lc_fake_run (suite);
 }
--- a/tests/control/test-store.c
+++ b/tests/control/test-store.c
@@ -1,6 +1,7 @@
 /* The data folder: what a crash or a bad disk leaves is cut, refused or waited for, each named. */
 #include "core/control/lc-store.h"
 #include "fakes/lc-fake-disk.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <string.h>
@@ -310,8 +311,6 @@
 {
   Suite *suite = suite_create ("store");
   TCase *tcase = tcase_create ("disk");
-  SRunner *runner;
-  int failed;
 
   tcase_add_loop_test (tcase, test_damage, 0, (int)G_N_ELEMENTS (DAMAGES));
   tcase_add_test (tcase, test_after_a_torn_end_writing_goes_on);
@@ -320,9 +319,5 @@
   tcase_add_test (tcase, test_snapshot_removes_segments);
   tcase_add_test (tcase, test_installed_snapshot_replaces_the_log);
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return lc_fake_run (suite);
 }
--- a/tests/core/test-view.c
+++ b/tests/core/test-view.c
@@ -1,5 +1,6 @@
 /* The view: revisions never go back, history of candidate sets, snapshots rebuild the same view. */
 #include "core/lc-view.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <string.h>
@@ -156,17 +157,11 @@
 {
   Suite *suite = suite_create ("view");
   TCase *tcase = tcase_create ("core");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tcase, test_revision_never_goes_back);
   tcase_add_test (tcase, test_candidate_history);
   tcase_add_test (tcase, test_snapshot_rebuilds_the_view);
   tcase_add_test (tcase, test_route_longest_prefix);
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return lc_fake_run (suite);
 }
--- a/tests/flow/test-flow-core.c
+++ b/tests/flow/test-flow-core.c
@@ -7,6 +7,7 @@
 #include "core/flow/lc-retarget.h"
 #include "core/flow/lc-steer.h"
 #include "io/lc-flow-wire.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <string.h>
@@ -596,8 +597,6 @@
 {
   Suite *suite = suite_create ("flow-core");
   TCase *tcase = tcase_create ("core");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tcase, test_parse);
   tcase_add_test (tcase, test_retarget_keeps_checksums_right);
@@ -611,9 +610,5 @@
   tcase_add_test (tcase, test_ramp);
   tcase_add_test (tcase, test_steer);
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return lc_fake_run (suite);
 }
--- a/tests/flow/test-flow-return.c
+++ b/tests/flow/test-flow-return.c
@@ -1,5 +1,6 @@
 /* Steering where backend servers return what they do not hold: tables of what happens. */
 #include "return-world.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <string.h>
@@ -431,8 +432,6 @@
 {
   Suite *suite = suite_create ("flow-return");
   TCase *tcase = tcase_create ("flow-return");
-  SRunner *runner;
-  int failed;
 
   tcase_add_loop_test (tcase, test_open_flows_are_found, 0, (int)G_N_ELEMENTS (EVENTS));
   tcase_add_test (tcase, test_new_flows_avoid_who_leaves);
@@ -446,9 +445,5 @@
   tcase_add_loop_test (tcase, test_lost_flows, 0, (int)G_N_ELEMENTS (LOST));
   tcase_add_test (tcase, test_denials);
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return lc_fake_run (suite);
 }
--- a/tests/member/test-member-links.c
+++ b/tests/member/test-member-links.c
@@ -1,6 +1,7 @@
 /* Membership over real links: a fake control, real distributor, real members of both kinds. */
 #include "fake-control.h"
 #include "fake-node.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include "controller/lc-view-server.h"
 #include "io/lc-member-frames.h"
@@ -625,8 +626,6 @@
 {
   Suite *suite = suite_create ("member-links");
   TCase *tc = tcase_create ("links");
-  SRunner *runner;
-  int failed;
 
   lc_log_init (LC_LOG_ERROR, "test", "member-links");
   tcase_set_timeout (tc, 60);
@@ -646,9 +645,5 @@
   tcase_set_timeout (tc, 60);
   tcase_add_loop_test (tc, test_subscriber_ahead_of_its_server, 0, 2);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return lc_fake_run (suite);
 }
--- a/tests/member/test-member.c
+++ b/tests/member/test-member.c
@@ -6,6 +6,7 @@
 #include "core/member/lc-settle.h"
 #include "core/member/lc-upstreams.h"
 #include "core/member/lc-watch.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <string.h>
@@ -374,8 +375,6 @@
 {
   Suite *suite = suite_create ("member");
   TCase *tc = tcase_create ("decisions");
-  SRunner *runner;
-  int failed;
 
   tcase_add_loop_test (tc, test_reports, 0, (int)G_N_ELEMENTS (REPORTS));
   tcase_add_checked_fixture (tc, setup, teardown);
@@ -387,9 +386,5 @@
   tcase_add_test (tc, test_scope_of_a_service_opened_later);
   tcase_add_test (tc, test_upstreams_spread_and_avoid);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return lc_fake_run (suite);
 }
--- a/tests/platform/test-attention.c
+++ b/tests/platform/test-attention.c
@@ -1,5 +1,6 @@
 /* What needs a person, from control's status. */
 #include "cli/lc-cli-attention.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -64,13 +65,8 @@
 {
   Suite *suite = suite_create ("attention");
   TCase *tcase = tcase_create ("rules");
-  SRunner *runner = srunner_create (suite);
-  int n_failed;
 
   tcase_add_loop_test (tcase, test_lines, 0, sizeof CASES / sizeof CASES[0]);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  n_failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return n_failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return lc_fake_run (suite);
 }
--- a/tests/platform/test-burn.c
+++ b/tests/platform/test-burn.c
@@ -1,6 +1,7 @@
 /* Burn rates, urgency, budget and imbalance, as tables. */
 #include "core/burn/lc-burn-report.h"
 #include "core/burn/lc-burn-ring.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <math.h>
@@ -226,8 +227,6 @@
 {
   Suite *suite = suite_create ("burn");
   TCase *tcase = tcase_create ("tables");
-  SRunner *runner = srunner_create (suite);
-  int n_failed;
 
   tcase_add_loop_test (tcase, test_rates, 0, sizeof RATES / sizeof RATES[0]);
   tcase_add_loop_test (tcase, test_each_bad_kind_counts, 0, sizeof BAD / sizeof BAD[0]);
@@ -236,8 +235,5 @@
   tcase_add_loop_test (tcase, test_flow_rate, 0, sizeof FLOWS / sizeof FLOWS[0]);
   tcase_add_test (tcase, test_ring_reaches_back);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  n_failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return n_failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return lc_fake_run (suite);
 }
--- a/tests/platform/test-clock-step.c
+++ b/tests/platform/test-clock-step.c
@@ -4,6 +4,7 @@
  * steps while timers run. */
 #include "io/lc-clock.h"
 #include "io/lc-timer.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -68,14 +69,9 @@
 {
   Suite *suite = suite_create ("clock-step");
   TCase *tcase = tcase_create ("loop");
-  SRunner *runner = srunner_create (suite);
-  int n_failed;
 
   tcase_set_timeout (tcase, 60);
   tcase_add_loop_test (tcase, test_step, 0, sizeof STEPS_US / sizeof STEPS_US[0]);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  n_failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return n_failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return lc_fake_run (suite);
 }
--- a/tests/platform/test-frame.c
+++ b/tests/platform/test-frame.c
@@ -1,5 +1,6 @@
 /* Frames: whole, in pieces, and malformed. */
 #include "io/lc-frame.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <glib.h>
@@ -63,14 +64,9 @@
 {
   Suite *suite = suite_create ("frame");
   TCase *tcase = tcase_create ("decode");
-  SRunner *runner = srunner_create (suite);
-  int n_failed;
 
   tcase_add_loop_test (tcase, test_header, 0, G_N_ELEMENTS (HEADERS));
   tcase_add_test (tcase, test_round_trip_at_each_cut);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  n_failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return n_failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return lc_fake_run (suite);
 }
--- a/tests/platform/test-link.c
+++ b/tests/platform/test-link.c
@@ -2,6 +2,7 @@
 #include "io/lc-clock.h"
 #include "io/lc-link.h"
 #include "io/lc-log.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <arpa/inet.h>
 #include <check.h>
@@ -367,8 +368,6 @@
 {
   Suite *suite = suite_create ("link");
   TCase *tcase = tcase_create ("loopback");
-  SRunner *runner = srunner_create (suite);
-  int n_failed;
 
   tcase_set_timeout (tcase, 60);
   tcase_add_test (tcase, test_order_and_sizes);
@@ -380,8 +379,5 @@
   tcase_add_test (tcase, test_client_finishes_in_down);
   tcase_add_test (tcase, test_client_reused_in_frame);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  n_failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return n_failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return lc_fake_run (suite);
 }
--- a/tests/platform/test-observe.c
+++ b/tests/platform/test-observe.c
@@ -4,6 +4,7 @@
 #include "io/lc-http.h"
 #include "io/lc-log.h"
 #include "io/lc-metrics.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <arpa/inet.h>
 #include <check.h>
@@ -310,8 +311,6 @@
 {
   Suite *suite = suite_create ("observe");
   TCase *tcase = tcase_create ("text");
-  SRunner *runner = srunner_create (suite);
-  int n_failed;
 
   tcase_set_timeout (tcase, 60);
   tcase_add_test (tcase, test_metrics_text);
@@ -322,8 +321,5 @@
   tcase_add_test (tcase, test_log_limit);
   tcase_add_loop_test (tcase, test_admin, 0, G_N_ELEMENTS (REQUESTS));
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  n_failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return n_failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return lc_fake_run (suite);
 }
--- a/tests/platform/test-settings.c
+++ b/tests/platform/test-settings.c
@@ -1,6 +1,7 @@
 /* Settings: every kind of error names the file, the JSON path, what is wrong and the remedy. */
 #include "agent/lc-agent-settings.h"
 #include "balancer/lc-balancer-settings.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <glib.h>
@@ -204,8 +205,6 @@
 {
   Suite *suite = suite_create ("settings");
   TCase *tcase = tcase_create ("tables");
-  SRunner *runner = srunner_create (suite);
-  int n_failed;
 
   tcase_add_loop_test (tcase, test_error, 0, G_N_ELEMENTS (ERRORS));
   tcase_add_loop_test (tcase, test_schema, 0, G_N_ELEMENTS (SCHEMAS));
@@ -213,8 +212,5 @@
   tcase_add_test (tcase, test_values);
   tcase_add_test (tcase, test_missing_file);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  n_failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return n_failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return lc_fake_run (suite);
 }
--- a/tests/platform/test-timer.c
+++ b/tests/platform/test-timer.c
@@ -1,6 +1,7 @@
 /* Timers on a real loop: order, moving, and callbacks that change timers. */
 #include "io/lc-clock.h"
 #include "io/lc-timer.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <glib.h>
@@ -211,8 +212,6 @@
 {
   Suite *suite = suite_create ("timer");
   TCase *tcase = tcase_create ("loop");
-  SRunner *runner = srunner_create (suite);
-  int n_failed;
 
   tcase_set_timeout (tcase, 60);
   tcase_add_loop_test (tcase, test_order, 0, G_N_ELEMENTS (ORDER_CASES));
@@ -223,8 +222,5 @@
   tcase_add_test (tcase, test_zero_does_not_hold_the_loop);
   tcase_add_test (tcase, test_many);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  n_failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return n_failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return lc_fake_run (suite);
 }
--- a/tests/request/test-request.c
+++ b/tests/request/test-request.c
@@ -11,6 +11,7 @@
 #include "core/filter/lc-filter-answer.h"
 #include "core/filter/lc-filter-attempt.h"
 #include "core/filter/lc-filter.h"
+#include "tests/fakes/lc-fake-run.h"
 
 #include <check.h>
 #include <string.h>
@@ -483,8 +484,6 @@
 {
   Suite *suite = suite_create ("request");
   TCase *tcase = tcase_create ("core");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tcase, test_outcome_of_two_attempts);
   tcase_add_test (tcase, test_late_and_crossed_messages_change_nothing);
@@ -500,9 +499,5 @@
   tcase_add_test (tcase, test_claim_asks_the_first_home_alone);
   tcase_add_test (tcase, test_ids);
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return lc_fake_run (suite);
 }
