--- /dev/null
+++ b/src/agent/lc-agent-flow-report.c
@@ -0,0 +1,216 @@
+#include "lc-agent-flow-private.h"
+
+#include "core/flow/lc-flow-return.h"
+
+/* === private: counters ====================================================================== */
+
+static void
+lc_agent_flow__add_histograms (LcAgentFlow *plane, LcMetrics *metrics)
+{
+  plane->open_us = lc_metrics_histogram (
+      metrics, "lychee_flow_open_us",
+      "From a first packet given to the backend server to its acceptance, microseconds", NULL);
+  plane->answer_us = lc_metrics_histogram (
+      metrics, "lychee_flow_answer_us",
+      "From a request's first packet to that of its answer, microseconds", NULL);
+  plane->late_total = lc_metrics_counter (metrics, "lychee_flow_late_total",
+                                          "Answers that took longer than late_answer_ms", NULL);
+}
+
+void
+lc_agent_flow__add_meters (LcAgentFlow *plane)
+{
+  LcMetrics *metrics = &plane->desc.app->metrics;
+  LcFlowAgentCounts *counts = &plane->agent.counts;
+  LcFlowMeter *meter = &plane->meter;
+
+  lc_flow_meter_add (meter, metrics, "lychee_flow_received_total", "Datagrams received", NULL,
+                     &plane->port.received_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_unsent_total", "Datagrams the system refused",
+                     NULL, &plane->port.unsent_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_oversized_total", "Datagrams too long", NULL,
+                     &plane->port.oversized_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_malformed_total", "Datagrams not understood",
+                     NULL, &plane->malformed_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_message_bytes_total",
+                     "Bytes of pointers and loads sent to other agents", NULL,
+                     &plane->message_bytes_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_delivered_total", "Packets delivered", NULL,
+                     &counts->delivered_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_forwarded_total", "Packets sent on", NULL,
+                     &counts->forwarded_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_taken_total", "Flows taken", NULL,
+                     &counts->taken_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_assigned_total", "Flows assigned", NULL,
+                     &counts->assigned_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_passed_total", "Flows assigned to others", NULL,
+                     &counts->passed_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_refused_total", "New flows refused", NULL,
+                     &counts->refused_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_conflicts_total", "Flows given up to another",
+                     NULL, &counts->conflicts_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_adopted_total", "Flows taken over", NULL,
+                     &counts->adopted_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_returned_total",
+                     "Packets that the backend server returned", NULL, &counts->returned_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_searched_total",
+                     "Packets whose owner was looked for at every agent", NULL,
+                     &counts->searched_total);
+  lc_flow_meter_add_drops (meter, metrics, counts->dropped_total);
+  plane->open_flows =
+      lc_metrics_gauge (metrics, "lychee_flow_open", "Open flows of the backend server", NULL);
+  lc_agent_flow__add_histograms (plane, metrics);
+}
+
+/* Brings one total to the service-level counts. */
+static void
+lc_agent_flow__burn (LcAgentFlow *plane, LcBurnCounter counter, uint64_t total)
+{
+  uint64_t *brought = &plane->burned[counter];
+
+  if (total > *brought)
+    lc_burn_add (&plane->desc.app->burn, plane->desc.settings->service, counter, total - *brought);
+  *brought = MAX (*brought, total);
+}
+
+/* A flow taken over from a leaving agent opens here and has ended there. */
+void
+lc_agent_flow__bring_totals (LcAgentFlow *plane)
+{
+  const LcFlowAgentCounts *counts = &plane->agent.counts;
+  uint64_t opened = counts->taken_total + counts->adopted_total;
+  uint64_t gone = opened - MIN (opened, lc_flow_agent_open_flows (&plane->agent));
+
+  lc_flow_meter_bring (&plane->meter);
+  lc_metric_set (plane->open_flows, lc_flow_agent_open_flows (&plane->agent));
+  lc_agent_flow__burn (plane, LC_BURN_FLOW_OPENED, opened);
+  lc_agent_flow__burn (plane, LC_BURN_FLOW_ENDED, gone);
+  /* Broken flows were another's: their owner is gone and can't count them, so their home does. */
+  lc_agent_flow__burn (plane, LC_BURN_FLOW_BROKEN, counts->broken_total + counts->conflicts_total);
+  lc_agent_flow__burn (plane, LC_BURN_FLOW_REFUSED,
+                       counts->dropped_total[LC_DROP_LIMIT] +
+                           counts->dropped_total[LC_DROP_NO_ENDPOINT]);
+}
+
+/* === private: log lines ===================================================================== */
+
+static const char *
+lc_agent_flow__mode_name (uint8_t mode)
+{
+  switch ((LcEnvelopeMode)mode)
+    {
+    case LC_MODE_WALK:
+      return "asks the next home";
+    case LC_MODE_OPEN:
+      return "assigned to it";
+    case LC_MODE_OWNER:
+      return "known as its owner";
+    case LC_MODE_ASSIGN:
+      return "to be assigned there";
+    case LC_MODE_REFUSED:
+      return "not taken here";
+    case LC_MODE_SEARCH:
+      return "asked for the owner";
+    }
+  return NULL;
+}
+
+/* What every line of this agent says of its own knowledge. */
+static LcFlowLogLine
+lc_agent_flow__line (const LcAgentFlow *plane,
+                     LcFlowLogKind kind,
+                     const LcFlowKey *key,
+                     int64_t now_us)
+{
+  return (LcFlowLogLine){ .kind = kind,
+                          .key = key,
+                          .revision = plane->agent.view != NULL ? plane->agent.view->revision : 0,
+                          .view_age_us = lc_member_silence_us (plane->desc.member, now_us),
+                          .n_at_work = plane->agent.n_at_work };
+}
+
+void
+lc_agent_flow__log_action (LcAgentFlow *plane,
+                           const LcFlowAction *action,
+                           const LcEnvelope *envelope,
+                           const LcPacket *packet,
+                           uint32_t n_asked,
+                           int64_t now_us)
+{
+  LcFlowLogLine line = lc_agent_flow__line (plane, LC_FLOW_LOG_DROPPED, &packet->key, now_us);
+
+  line.n_copies = packet->may_open ? packet->n_copies : 0;
+  switch (action->kind)
+    {
+    case LC_FLOW_ACTION_DELIVER:
+      if (!packet->may_open || !action->deliver.is_new)
+        return;
+      line.kind = LC_FLOW_LOG_ASSIGNED;
+      break;
+    case LC_FLOW_ACTION_SEND:
+      if (!packet->may_open)
+        return;
+      line.kind = LC_FLOW_LOG_PASSED;
+      line.why = lc_agent_flow__mode_name (envelope->mode);
+      line.to = (LcSocketAddress){ .ipv4 = action->send.ipv4, .port = action->send.port };
+      break;
+    case LC_FLOW_ACTION_TRY:
+      return;
+    case LC_FLOW_ACTION_SEARCH:
+      line.kind = LC_FLOW_LOG_SEARCHED;
+      line.why = action->is_here ? "no home knows its owner" : "the backend server returned it";
+      line.n_asked = n_asked;
+      break;
+    case LC_FLOW_ACTION_RESET:
+      line.kind = LC_FLOW_LOG_RESET;
+      line.why = lc_drop_reason_name (action->reason);
+      break;
+    case LC_FLOW_ACTION_DROP:
+      line.why = lc_drop_reason_name (action->reason);
+      break;
+    }
+  lc_flow_log (&plane->log, &line, now_us);
+}
+
+void
+lc_agent_flow__log_returned (LcAgentFlow *plane, const LcPacket *packet, int64_t now_us)
+{
+  LcFlowLogLine line = lc_agent_flow__line (plane, LC_FLOW_LOG_RETURNED, &packet->key, now_us);
+
+  line.why = packet->may_open ? "the backend server takes no new flow now"
+                              : "the backend server does not hold the flow";
+  line.n_copies = packet->may_open ? packet->n_copies : 0;
+  lc_flow_log (&plane->log, &line, now_us);
+}
+
+void
+lc_agent_flow__log_denied (LcAgentFlow *plane, const LcPacket *packet, int64_t now_us)
+{
+  LcFlowLogLine line = lc_agent_flow__line (plane, LC_FLOW_LOG_RESET, &packet->key, now_us);
+
+  line.why = "every backend server denied it";
+  lc_flow_log (&plane->log, &line, now_us);
+}
+
+void
+lc_agent_flow__note_answer (LcAgentFlow *plane,
+                            const LcPacket *packet,
+                            const LcFlowAnswer *answer,
+                            int64_t now_us)
+{
+  LcFlowKey key;
+  LcFlowLogLine line;
+
+  if (answer->kind == LC_FLOW_ANSWER_NONE)
+    return;
+  lc_metric_observe_us (answer->kind == LC_FLOW_ANSWER_OPENED ? plane->open_us : plane->answer_us,
+                        answer->after_us);
+  if (answer->after_us < (int64_t)plane->desc.settings->late_answer_ms * LC_US_PER_MS)
+    return;
+  lc_metric_add (plane->late_total, 1);
+  key = lc_flow_return_key (packet);
+  line = lc_agent_flow__line (plane, LC_FLOW_LOG_LATE, &key, now_us);
+  line.why = answer->kind == LC_FLOW_ANSWER_OPENED ? "accepted late" : "answered late";
+  line.after_us = answer->after_us;
+  lc_flow_log (&plane->log, &line, now_us);
+}
--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -1,4 +1,4 @@
-#include "lc-agent-flow.h"
+#include "lc-agent-flow-private.h"
 
 #include "core/flow/lc-flow-return.h"
 #include "io/lc-clock.h"
@@ -55,8 +55,7 @@
   while (lc_flow_return_next_reset (&plane->agent, &packet))
     {
       lc_agent_flow__reset (plane, &packet);
-      if (lc_log_allow (&plane->drop_limit, now_us, LC_AGENT_FLOW_LOG_PER_S))
-        lc_flow_meter_log ("flow.reset", "every backend server denied it", &packet.key);
+      lc_agent_flow__log_denied (plane, &packet, now_us);
     }
 }
 
@@ -150,8 +149,8 @@
                           packet->total_len);
 }
 
-/* Asks every other agent of the service for the owner of the packet's flow. */
-static void
+/* Asks every other agent of the service for the owner of the packet's flow; returns how many. */
+static uint32_t
 lc_agent_flow__search (LcAgentFlow *plane, bool is_here, uint8_t *bytes, const LcPacket *packet)
 {
   LcCandidate others[LC_FLOW_SEARCH_MAX];
@@ -166,6 +165,7 @@
     }
   if (is_here)
     lc_agent_flow__give (plane, bytes, packet, plane->agent.desc.self.id);
+  return n;
 }
 
 static void
@@ -176,30 +176,30 @@
                     const LcPacket *packet,
                     int64_t now_us)
 {
+  uint32_t n_asked = 0;
+
   switch (action->kind)
     {
     case LC_FLOW_ACTION_DELIVER:
       lc_agent_flow__deliver (plane, action, bytes, packet);
-      return;
+      break;
     case LC_FLOW_ACTION_SEND:
       lc_packet_format_set_mark (lc_agent_flow__format (plane), bytes, LC_FLOW_MARK_NONE);
       lc_agent_flow__send (plane, envelope, action->send.ipv4, action->send.port, bytes, packet);
-      return;
+      break;
     case LC_FLOW_ACTION_TRY:
       lc_agent_flow__give (plane, bytes, packet, action->try_mark);
-      return;
+      break;
     case LC_FLOW_ACTION_SEARCH:
-      lc_agent_flow__search (plane, action->is_here, bytes, packet);
-      return;
+      n_asked = lc_agent_flow__search (plane, action->is_here, bytes, packet);
+      break;
     case LC_FLOW_ACTION_RESET:
       lc_agent_flow__reset (plane, packet);
       break;
     case LC_FLOW_ACTION_DROP:
       break;
     }
-  if (lc_log_allow (&plane->drop_limit, now_us, LC_AGENT_FLOW_LOG_PER_S))
-    lc_flow_meter_log (action->kind == LC_FLOW_ACTION_RESET ? "flow.reset" : "flow.dropped",
-                       lc_drop_reason_name (action->reason), &packet->key);
+  lc_agent_flow__log_action (plane, action, envelope, packet, n_asked, now_us);
 }
 
 static void
@@ -234,6 +234,7 @@
 
   if (!plane->has_agent)
     return;
+  lc_agent_flow__log_returned (plane, packet, now_us);
   action = lc_flow_return_returned (&plane->agent, &envelope, packet, now_us);
   lc_agent_flow__act (plane, &action, &envelope, bytes, packet, now_us);
 }
@@ -243,6 +244,7 @@
 {
   LcAgentFlow *plane = user;
   int64_t now_us = lc_clock_now_us ();
+  LcFlowAnswer answer;
   LcPacket packet;
 
   (void)port;
@@ -257,7 +259,10 @@
       return;
     }
   if (plane->has_agent)
-    lc_flow_return_answered (&plane->agent, &packet, now_us);
+    {
+      answer = lc_flow_return_answered (&plane->agent, &packet, now_us);
+      lc_agent_flow__note_answer (plane, &packet, &answer, now_us);
+    }
   lc_agent_flow__send_to_caller (plane, packet.key.target_ipv4, bytes, len);
 }
 
@@ -343,34 +348,6 @@
     }
 }
 
-/* Brings one total to the service-level counts. */
-static void
-lc_agent_flow__burn (LcAgentFlow *plane, LcBurnCounter counter, uint64_t total)
-{
-  uint64_t *brought = &plane->burned[counter];
-
-  if (total > *brought)
-    lc_burn_add (&plane->desc.app->burn, plane->desc.settings->service, counter, total - *brought);
-  *brought = MAX (*brought, total);
-}
-
-/* A flow taken over from a leaving agent opens here and has ended there. */
-static void
-lc_agent_flow__bring_burn (LcAgentFlow *plane)
-{
-  const LcFlowAgentCounts *counts = &plane->agent.counts;
-  uint64_t opened = counts->taken_total + counts->adopted_total;
-  uint64_t gone = opened - MIN (opened, lc_flow_agent_open_flows (&plane->agent));
-
-  lc_agent_flow__burn (plane, LC_BURN_FLOW_OPENED, opened);
-  lc_agent_flow__burn (plane, LC_BURN_FLOW_ENDED, gone);
-  /* Broken flows were another's: their owner is gone and can't count them, so their home does. */
-  lc_agent_flow__burn (plane, LC_BURN_FLOW_BROKEN, counts->broken_total + counts->conflicts_total);
-  lc_agent_flow__burn (plane, LC_BURN_FLOW_REFUSED,
-                       counts->dropped_total[LC_DROP_LIMIT] +
-                           counts->dropped_total[LC_DROP_NO_ENDPOINT]);
-}
-
 static void
 lc_agent_flow__on_tick (void *user)
 {
@@ -379,65 +356,19 @@
 
   lc_timer_start (&plane->timer, LC_AGENT_FLOW_TICK_MS);
   lc_agent_relay_sweep (&plane->relay);
-  lc_flow_meter_bring (&plane->meter);
   if (!plane->has_agent)
     return;
   lc_flow_agent_set_cut_off (&plane->agent, lc_member_silence_us (plane->desc.member, now_us) >
                                                 LC_AGENT_FLOW_CUT_OFF_MS * LC_US_PER_MS);
   lc_flow_agent_tick (&plane->agent, now_us);
   lc_agent_flow__drain_tick (plane, now_us);
-  lc_metric_set (plane->open_flows, lc_flow_agent_open_flows (&plane->agent));
-  lc_agent_flow__bring_burn (plane);
+  lc_agent_flow__bring_totals (plane);
   lc_agent_flow__send_messages (plane, now_us);
   lc_datagram_flush (&plane->port);
 }
 
 /* === private: start ========================================================================= */
 
-static void
-lc_agent_flow__add_meters (LcAgentFlow *plane)
-{
-  LcMetrics *metrics = &plane->desc.app->metrics;
-  LcFlowAgentCounts *counts = &plane->agent.counts;
-  LcFlowMeter *meter = &plane->meter;
-
-  lc_flow_meter_add (meter, metrics, "lychee_flow_received_total", "Datagrams received", NULL,
-                     &plane->port.received_total);
-  lc_flow_meter_add (meter, metrics, "lychee_flow_unsent_total", "Datagrams the system refused",
-                     NULL, &plane->port.unsent_total);
-  lc_flow_meter_add (meter, metrics, "lychee_flow_oversized_total", "Datagrams too long", NULL,
-                     &plane->port.oversized_total);
-  lc_flow_meter_add (meter, metrics, "lychee_flow_malformed_total", "Datagrams not understood",
-                     NULL, &plane->malformed_total);
-  lc_flow_meter_add (meter, metrics, "lychee_flow_message_bytes_total",
-                     "Bytes of pointers and loads sent to other agents", NULL,
-                     &plane->message_bytes_total);
-  lc_flow_meter_add (meter, metrics, "lychee_flow_delivered_total", "Packets delivered", NULL,
-                     &counts->delivered_total);
-  lc_flow_meter_add (meter, metrics, "lychee_flow_forwarded_total", "Packets sent on", NULL,
-                     &counts->forwarded_total);
-  lc_flow_meter_add (meter, metrics, "lychee_flow_taken_total", "Flows taken", NULL,
-                     &counts->taken_total);
-  lc_flow_meter_add (meter, metrics, "lychee_flow_assigned_total", "Flows assigned", NULL,
-                     &counts->assigned_total);
-  lc_flow_meter_add (meter, metrics, "lychee_flow_passed_total", "Flows assigned to others", NULL,
-                     &counts->passed_total);
-  lc_flow_meter_add (meter, metrics, "lychee_flow_refused_total", "New flows refused", NULL,
-                     &counts->refused_total);
-  lc_flow_meter_add (meter, metrics, "lychee_flow_conflicts_total", "Flows given up to another",
-                     NULL, &counts->conflicts_total);
-  lc_flow_meter_add (meter, metrics, "lychee_flow_adopted_total", "Flows taken over", NULL,
-                     &counts->adopted_total);
-  lc_flow_meter_add (meter, metrics, "lychee_flow_returned_total",
-                     "Packets that the backend server returned", NULL, &counts->returned_total);
-  lc_flow_meter_add (meter, metrics, "lychee_flow_searched_total",
-                     "Packets whose owner was looked for at every agent", NULL,
-                     &counts->searched_total);
-  lc_flow_meter_add_drops (meter, metrics, counts->dropped_total);
-  plane->open_flows =
-      lc_metrics_gauge (metrics, "lychee_flow_open", "Open flows of the backend server", NULL);
-}
-
 /* Where packets show when a request begins and when its answer does, endpoints are compared by the
  * requests at work, and the data centre is left only when its endpoints have no free slot. */
 static void
--- a/src/agent/lc-agent-flow.h
+++ b/src/agent/lc-agent-flow.h
@@ -22,6 +22,7 @@
 #include "controller/lc-member.h"
 #include "core/flow/lc-flow-agent.h"
 #include "io/lc-datagram.h"
+#include "io/lc-flow-log.h"
 #include "io/lc-flow-meter.h"
 
 typedef struct
@@ -45,6 +46,10 @@
   LcFlowMeter meter;
   uint64_t burned[LC_N_BURN_COUNTERS]; /* totals already brought to app->burn */
   LcMetric *open_flows;
+  LcMetric *open_us;
+  LcMetric *answer_us;
+  LcMetric *late_total;
+  LcFlowLog log;
   bool is_draining;
   bool is_backend_open;
   bool is_leaving;   /* the backend server takes nothing new */
@@ -53,7 +58,6 @@
   uint64_t malformed_total;
   uint64_t message_bytes_total;
   LcLogLimit malformed_limit;
-  LcLogLimit drop_limit;
 } LcAgentFlow;
 
 int lc_agent_flow_init (LcAgentFlow *plane, const LcAgentFlowDesc *desc, LcError *error);
--- a/src/balancer/lc-balancer-flow.c
+++ b/src/balancer/lc-balancer-flow.c
@@ -9,17 +9,48 @@
 {
   LC_BALANCER_FLOW_TICK_MS = 50,    /* of probes */
   LC_BALANCER_FLOW_PROBES_MAX = 64, /* sent at one tick; the others come at the next */
-  LC_BALANCER_FLOW_LOG_PER_S = 2,
+  LC_BALANCER_FLOW_REACH_LOG_PER_S = 10,
 };
 
 /* === private: packets ======================================================================= */
 
+static LcFlowLogLine
+lc_balancer_flow__line (const LcBalancerFlow *plane,
+                        LcFlowLogKind kind,
+                        const LcFlowKey *key,
+                        int64_t now_us)
+{
+  const LcView *view = plane->balancer.view;
+
+  return (LcFlowLogLine){ .kind = kind,
+                          .key = key,
+                          .revision = view != NULL ? view->revision : 0,
+                          .view_age_us = lc_member_silence_us (plane->desc.member, now_us) };
+}
+
 static void
 lc_balancer_flow__drop (LcBalancerFlow *plane, LcDropReason reason, const LcFlowKey *key)
 {
+  int64_t now_us = lc_clock_now_us ();
+  LcFlowLogLine line = lc_balancer_flow__line (plane, LC_FLOW_LOG_DROPPED, key, now_us);
+
   plane->dropped_total[reason]++;
-  if (lc_log_allow (&plane->drop_limit, lc_clock_now_us (), LC_BALANCER_FLOW_LOG_PER_S))
-    lc_flow_meter_log ("flow.dropped", lc_drop_reason_name (reason), key);
+  line.why = lc_drop_reason_name (reason);
+  lc_flow_log (&plane->log, &line, now_us);
+}
+
+/* A first packet: where it goes, by which view, and whether some agents are passed over. */
+static void
+lc_balancer_flow__log_steered (LcBalancerFlow *plane, const LcPacket *packet, const LcCandidate *to)
+{
+  int64_t now_us = lc_clock_now_us ();
+  LcFlowLogLine line = lc_balancer_flow__line (plane, LC_FLOW_LOG_STEERED, &packet->key, now_us);
+
+  line.n_copies = packet->n_copies;
+  line.to = (LcSocketAddress){ .ipv4 = to->ipv4, .port = to->port };
+  if (plane->balancer.has_suspects)
+    line.why = "some agents do not answer and are passed over";
+  lc_flow_log (&plane->log, &line, now_us);
 }
 
 static LcPacketFormat
@@ -74,6 +105,8 @@
       return;
     }
   plane->steered_total++;
+  if (packet.may_open)
+    lc_balancer_flow__log_steered (plane, &packet, &to);
   if (plane->balancer.is_returning)
     lc_reach_used (&plane->reach, &to, lc_clock_now_us ());
   (void)lc_datagram_send (&plane->port, to.ipv4, to.port, header,
@@ -102,6 +135,19 @@
     LC_INFO ("flow.reaches-agents");
 }
 
+static void
+lc_balancer_flow__note_reach (LcBalancerFlow *plane, int64_t now_us)
+{
+  LcReachChange change;
+
+  while (lc_reach_next_change (&plane->reach, now_us, &change))
+    if (lc_log_allow (&plane->reach_limit, now_us, LC_BALANCER_FLOW_REACH_LOG_PER_S))
+      LC_INFO (change.is_suspect ? "agent.suspect" : "agent.answers", "ipv4",
+               LC_U64 (change.address.ipv4), "port", LC_U64 (change.address.port), "silent_ms",
+               LC_I64 (change.silent_us / LC_US_PER_MS), "left_out",
+               LC_U64 (plane->reach_limit.suppressed_total));
+}
+
 /* Agents that are in use are asked whether they are there. */
 static void
 lc_balancer_flow__probe (LcBalancerFlow *plane, int64_t now_us)
@@ -115,6 +161,7 @@
     (void)lc_datagram_send (&plane->port, due[i].ipv4, due[i].port, bytes, sizeof bytes, NULL, 0);
   lc_datagram_flush (&plane->port);
   lc_flow_balancer_mark_suspects (&plane->balancer, &plane->reach, now_us);
+  lc_balancer_flow__note_reach (plane, now_us);
   lc_balancer_flow__note_alone (plane, lc_reach_is_alone (&plane->reach, now_us));
 }
 
--- a/src/balancer/lc-balancer-flow.h
+++ b/src/balancer/lc-balancer-flow.h
@@ -20,6 +20,7 @@
 #include "controller/lc-member.h"
 #include "core/flow/lc-flow-balancer.h"
 #include "io/lc-datagram.h"
+#include "io/lc-flow-log.h"
 #include "io/lc-flow-meter.h"
 
 #define LC_BALANCER_FLOW_QUIET_US (500 * LC_US_PER_MS)
@@ -47,7 +48,8 @@
   uint64_t reset_total;
   uint64_t steered_total;
   uint64_t dropped_total[LC_N_DROP_REASONS];
-  LcLogLimit drop_limit;
+  LcFlowLog log;
+  LcLogLimit reach_limit;
 } LcBalancerFlow;
 
 int lc_balancer_flow_init (LcBalancerFlow *plane, const LcBalancerFlowDesc *desc, LcError *error);
--- a/src/cli/lc-cli.h
+++ b/src/cli/lc-cli.h
@@ -76,5 +76,6 @@
 int lc_cli_status (int argc, char **argv);
 int lc_cli_history (int argc, char **argv);
 int lc_cli_burn (int argc, char **argv);
+int lc_cli_explain (int argc, char **argv);
 
 #endif /* LC_CLI_H */
--- /dev/null
+++ b/src/cli/lc-explain.c
@@ -0,0 +1,245 @@
+#include "lc-explain.h"
+
+#include "core/lc-types.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* === private: reading ======================================================================= */
+
+static const char *
+lc_explain__text (const json_t *json, const char *key)
+{
+  const char *text = json_string_value (json_object_get (json, key));
+
+  return text != NULL ? text : "";
+}
+
+int64_t
+lc_explain_time (const char *text)
+{
+  GDateTime *time = g_date_time_new_from_iso8601 (text, NULL);
+  int64_t at_us;
+  char *end = NULL;
+  double seconds;
+
+  if (time != NULL)
+    {
+      at_us = g_date_time_to_unix (time) * LC_US_PER_S + g_date_time_get_microsecond (time);
+      g_date_time_unref (time);
+      return at_us;
+    }
+  seconds = g_ascii_strtod (text, &end);
+  return end != text && *end == '\0' && seconds >= 0 ? (int64_t)(seconds * LC_US_PER_S) : -1;
+}
+
+static void
+lc_explain__add (LcExplainLog *log, const char *text)
+{
+  const char *brace = strchr (text, '{');
+  json_t *json = brace != NULL ? json_loads (brace, JSON_DISABLE_EOF_CHECK, NULL) : NULL;
+  LcExplainLine line = { .json = json, .at_us = -1 };
+
+  if (json != NULL)
+    line.at_us = lc_explain_time (lc_explain__text (json, "time"));
+  if (line.at_us < 0)
+    {
+      log->n_skipped++;
+      json_decref (json);
+      return;
+    }
+  line.program = lc_explain__text (json, "program");
+  line.name = lc_explain__text (json, "name");
+  line.event = lc_explain__text (json, "event");
+  line.flow = json_string_value (json_object_get (json, "flow"));
+  g_array_append_val (log->lines, line);
+}
+
+static void
+lc_explain__drop_line (gpointer line)
+{
+  json_decref (((LcExplainLine *)line)->json);
+}
+
+/* === public: the log ======================================================================== */
+
+void
+lc_explain_init (LcExplainLog *log)
+{
+  memset (log, 0, sizeof *log);
+  log->lines = g_array_new (FALSE, FALSE, sizeof (LcExplainLine));
+  g_array_set_clear_func (log->lines, lc_explain__drop_line);
+}
+
+void
+lc_explain_finish (LcExplainLog *log)
+{
+  g_array_unref (log->lines);
+  memset (log, 0, sizeof *log);
+}
+
+int
+lc_explain_read (LcExplainLog *log, const char *path, LcError *error)
+{
+  bool is_stdin = strcmp (path, "-") == 0;
+  FILE *in = is_stdin ? stdin : fopen (path, "r");
+  char *text = NULL;
+  size_t size = 0;
+
+  if (in == NULL)
+    return lc_error_set (error, LC_ERR_NOT_FOUND, "name files that hold the programs' output",
+                         "%s: %s", path, g_strerror (errno));
+  while (getline (&text, &size, in) >= 0)
+    lc_explain__add (log, text);
+  free (text);
+  if (!is_stdin)
+    (void)fclose (in);
+  return 0;
+}
+
+static gint
+lc_explain__compare_lines (gconstpointer a, gconstpointer b)
+{
+  const LcExplainLine *left = a;
+  const LcExplainLine *right = b;
+
+  return (left->at_us > right->at_us) - (left->at_us < right->at_us);
+}
+
+void
+lc_explain_sort (LcExplainLog *log)
+{
+  g_array_sort (log->lines, lc_explain__compare_lines); /* g_array_sort is stable */
+}
+
+/* === public: one flow ======================================================================= */
+
+typedef struct
+{
+  int64_t first_us;
+  int64_t last_us;
+  uint32_t n_lines;
+  GHashTable *processes; /* "program name" of those that speak of it */
+} LcExplainSpan;
+
+static char *
+lc_explain__process (const LcExplainLine *line)
+{
+  return g_strdup_printf ("%s %s", line->program, line->name);
+}
+
+static void
+lc_explain__span (const LcExplainLog *log, const char *id, LcExplainSpan *span)
+{
+  memset (span, 0, sizeof *span);
+  span->processes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint i = 0; i < log->lines->len; i++)
+    {
+      const LcExplainLine *line = &g_array_index (log->lines, LcExplainLine, i);
+
+      if (line->flow == NULL || strcmp (line->flow, id) != 0)
+        continue;
+      if (span->n_lines++ == 0)
+        span->first_us = line->at_us;
+      span->last_us = line->at_us;
+      (void)g_hash_table_add (span->processes, lc_explain__process (line));
+    }
+}
+
+/* Links that come and go among control VMs are many and decide nothing by themselves. */
+static bool
+lc_explain__is_context (const LcExplainLine *line, const LcExplainSpan *span)
+{
+  char *process;
+  bool is_involved;
+
+  if (line->flow != NULL)
+    return false;
+  if (strcmp (line->program, "lychee-control") == 0)
+    return !g_str_has_prefix (line->event, "control.peer-");
+  process = lc_explain__process (line);
+  is_involved = g_hash_table_contains (span->processes, process);
+  g_free (process);
+  return is_involved;
+}
+
+uint32_t
+lc_explain_flow (const LcExplainLog *log, const char *id, int64_t around_us, GPtrArray *out)
+{
+  LcExplainSpan span;
+
+  lc_explain__span (log, id, &span);
+  for (guint i = 0; span.n_lines > 0 && i < log->lines->len; i++)
+    {
+      LcExplainLine *line = &g_array_index (log->lines, LcExplainLine, i);
+
+      if (line->at_us < span.first_us - around_us || line->at_us > span.last_us + around_us)
+        continue;
+      if ((line->flow != NULL && strcmp (line->flow, id) == 0) ||
+          lc_explain__is_context (line, &span))
+        g_ptr_array_add (out, line);
+    }
+  g_hash_table_unref (span.processes);
+  return span.n_lines;
+}
+
+/* === public: which flows ==================================================================== */
+
+static bool
+lc_explain__fits (const LcExplainLine *line, const LcExplainQuery *query)
+{
+  const char *arrow = line->flow != NULL ? strchr (line->flow, '>') : NULL;
+  size_t len = query->caller != NULL ? strlen (query->caller) : 0;
+
+  if (arrow == NULL || line->at_us < query->since_us ||
+      (query->until_us != 0 && line->at_us > query->until_us))
+    return false;
+  if (query->service != NULL && strcmp (arrow + 1, query->service) != 0)
+    return false;
+  return len == 0 || (strncmp (line->flow, query->caller, len) == 0 &&
+                      (line->flow[len] == ':' || line->flow[len] == '>'));
+}
+
+static bool
+lc_explain__is_bad (const LcExplainLine *line)
+{
+  static const char *const BAD[] = { "flow.dropped", "flow.reset", "flow.returned", "flow.searched",
+                                     "flow.late" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (BAD); i++)
+    if (strcmp (line->event, BAD[i]) == 0)
+      return true;
+  return false;
+}
+
+void
+lc_explain_flows (const LcExplainLog *log, const LcExplainQuery *query, GArray *out)
+{
+  GHashTable *places = g_hash_table_new (g_str_hash, g_str_equal); /* id -> place in out, plus 1 */
+
+  for (guint i = 0; i < log->lines->len; i++)
+    {
+      const LcExplainLine *line = &g_array_index (log->lines, LcExplainLine, i);
+      LcExplainFlow *flow;
+      guint place;
+
+      if (!lc_explain__fits (line, query))
+        continue;
+      place = GPOINTER_TO_UINT (g_hash_table_lookup (places, line->flow));
+      if (place == 0)
+        {
+          LcExplainFlow fresh = { .id = line->flow, .first_us = line->at_us };
+
+          g_array_append_val (out, fresh);
+          place = out->len;
+          (void)g_hash_table_insert (places, (gpointer)line->flow, GUINT_TO_POINTER (place));
+        }
+      flow = &g_array_index (out, LcExplainFlow, place - 1);
+      flow->last_us = line->at_us;
+      flow->n_lines++;
+      flow->n_bad += lc_explain__is_bad (line) ? 1 : 0;
+    }
+  g_hash_table_unref (places);
+}
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -19,6 +19,7 @@
   { "status", lc_cli_status, "members, data centres, services, work under way" },
   { "history", lc_cli_history, "who changed what, and when" },
   { "burn", lc_cli_burn, "how fast services spend their error budgets" },
+  { "explain", lc_cli_explain, "what happened to a flow, from log files" },
   { NULL, NULL, NULL },
 };
 
--- a/src/control/lc-control-http.c
+++ b/src/control/lc-control-http.c
@@ -12,6 +12,7 @@
   LC_CONTROL_HTTP_RESEND_US = 500000, /* a forwarded command may be lost: hand it over again */
   LC_CONTROL_HTTP_WAITING_MAX = 1024,
   LC_CONTROL_HTTP_HISTORY_MAX = 1000,
+  LC_CONTROL_HTTP_SHOWN_LOGS_PER_S = 20,
 };
 
 /* In the request's own memory, which h2o frees with it. */
@@ -302,28 +303,51 @@
   lc_http_answer (req, 307, NULL, "{}", 2);
 }
 
+/* Who was told what of the newest declaration, and by what right. */
+static void
+lc_control_http__log_shown (LcControlHttp *http, const char *outcome)
+{
+  const LcReplica *replica = http->desc.replica;
+
+  if (lc_log_allow (&http->shown_limit, lc_clock_now_us (), LC_CONTROL_HTTP_SHOWN_LOGS_PER_S))
+    LC_INFO ("declaration.shown", "outcome", LC_STR (outcome), "number",
+             LC_U64 (lc_replica_state (replica)->numbered.number), "term",
+             LC_U64 (replica->raft.term), "commit_index", LC_U64 (replica->raft.commit_index),
+             "leader_silent_ms", LC_I64 (lc_replica_silence_us (replica) / LC_US_PER_MS),
+             "left_out", LC_U64 (http->shown_limit.suppressed_total));
+}
+
+static void
+lc_control_http__show_unsure (LcControlHttp *http, h2o_req_t *req)
+{
+  const LcRaftMember *leader = lc_replica_leader (http->desc.replica);
+  LcError error = { 0 };
+
+  if (leader != NULL && leader->id != http->desc.replica->id)
+    {
+      lc_control_http__log_shown (http, "redirected to the leader");
+      lc_control_http__redirect (http, req, leader->ipv4);
+      return;
+    }
+  lc_control_http__log_shown (http, "refused: no lease");
+  (void)lc_error_set (&error, LC_ERR_UNAVAILABLE, "ask again in a second, or another control VM",
+                      "this control VM can't be sure which declaration is the newest");
+  lc_control_http__fail (http, req, &error);
+}
+
 /* Only the leader under its lease knows which declaration is the newest. */
 static void
 lc_control_http__show_declaration (LcControlHttp *http, h2o_req_t *req)
 {
   LcReplica *replica = http->desc.replica;
   const LcControlNumbered *numbered = &lc_replica_state (replica)->numbered;
-  const LcRaftMember *leader = lc_replica_leader (replica);
   LcError error = { 0 };
   gsize len;
   const char *document;
 
   if (!lc_replica_can_read (replica))
     {
-      if (leader != NULL && leader->id != replica->id)
-        {
-          lc_control_http__redirect (http, req, leader->ipv4);
-          return;
-        }
-      (void)lc_error_set (&error, LC_ERR_UNAVAILABLE,
-                          "ask again in a second, or another control VM",
-                          "this control VM can't be sure which declaration is the newest");
-      lc_control_http__fail (http, req, &error);
+      lc_control_http__show_unsure (http, req);
       return;
     }
   if (numbered->document == NULL)
@@ -333,6 +357,7 @@
       lc_control_http__fail (http, req, &error);
       return;
     }
+  lc_control_http__log_shown (http, "shown");
   document = g_bytes_get_data (numbered->document, &len);
   lc_http_answer (req, 200, NULL, document, len);
 }
--- a/src/control/lc-control-http.h
+++ b/src/control/lc-control-http.h
@@ -39,6 +39,7 @@
   LcControlHttpDesc desc;
   LcHttp http;
   GPtrArray *waiting; /* private requests */
+  LcLogLimit shown_limit;
   LcTimer timer;
   LcMetric *requests_total;
   LcMetric *refused_total;
--- a/src/control/lc-distributor.c
+++ b/src/control/lc-distributor.c
@@ -22,6 +22,7 @@
   LC_DISTRIBUTOR_SUSPECTS = 64,
   LC_DISTRIBUTOR_FOLLOWER_REPORTS = 3, /* a follower steps in when the leader seems not to hear */
   LC_DISTRIBUTOR_LOGS_PER_S = 2,
+  LC_DISTRIBUTOR_PROPOSAL_LOGS_PER_S = 30,
 };
 
 struct LcDistributor
@@ -49,6 +50,7 @@
   LcMetric *sent_gauge;
   LcLogLimit log_limit;
   LcLogLimit guard_limit;
+  LcLogLimit proposal_limit;
   LcLogLimit unplaced_limit;
 };
 
@@ -70,6 +72,20 @@
   return g_strdup (text);
 }
 
+/* What this control VM has come to believe of a member, and hands to the log. */
+static void
+lc_distributor__log_proposal (LcDistributor *d, const LcMemberChange *change, int64_t now_us)
+{
+  if (change->kind != LC_MEMBER_SETTLED &&
+      lc_log_allow (&d->proposal_limit, now_us, LC_DISTRIBUTOR_PROPOSAL_LOGS_PER_S))
+    LC_INFO ("member.proposed", "what", LC_STR (lc_member_change_kind_name (change->kind)),
+             "member", LC_STR (lc_member_change_name (change)), "instance",
+             LC_U64 (lc_member_change_instance (change)), "revision",
+             LC_U64 (d->desc.view->revision), "is_leader",
+             LC_U64 (d->desc.is_leader (d->desc.user)), "left_out",
+             LC_U64 (d->proposal_limit.suppressed_total));
+}
+
 /* The same transition comes from two watchers, and again until the view shows it: one proposal is
  * on its way at a time. */
 static void
@@ -89,6 +105,7 @@
       return;
     }
   lc_metric_add (d->proposed_total, 1);
+  lc_distributor__log_proposal (d, change, now_us);
   at_us = g_new (int64_t, 1);
   *at_us = now_us;
   g_hash_table_replace (d->pending, key, at_us);
--- a/src/control/lc-replica-standby.c
+++ b/src/control/lc-replica-standby.c
@@ -163,8 +163,8 @@
 
   for (uint32_t i = 0; i < members->n_members; i++)
     {
-      const LcReplicaPeer *peer = lc_replica__find_peer (replica, members->members[i].ipv4,
-                                                         members->members[i].peer_port);
+      const LcReplicaPeer *peer =
+          lc_replica__find_peer (replica, members->members[i].ipv4, members->members[i].peer_port);
 
       if (peer == NULL || peer->heard_us < oldest_us || peer->cluster == 0)
         continue;
--- a/src/controller/lc-member-upstream.c
+++ b/src/controller/lc-member-upstream.c
@@ -13,6 +13,7 @@
   LC_MEMBER_LEASE_MS = 3000,
   LC_MEMBER_ASK_AGAIN_MS = 200, /* between subscriptions on one link */
   LC_MEMBER_LOGS_PER_S = 2,
+  LC_MEMBER_VIEW_LOG_PER_S = 10,
 };
 
 /* === private: small parts =================================================================== */
@@ -213,12 +214,26 @@
     member->seen_us = now_us;
 }
 
+/* Each step of what this process believes, and how old control's word for it is. */
+static void
+lc_member__log_view (LcMember *member, size_t n_ops, bool is_reset)
+{
+  int64_t now_us = lc_clock_now_us ();
+
+  if (lc_log_allow (&member->view_limit, now_us, LC_MEMBER_VIEW_LOG_PER_S))
+    LC_INFO ("view.applied", "revision", LC_U64 (member->sync.view.revision), "operations",
+             LC_U64 (n_ops), "is_whole", LC_U64 (is_reset), "view_age_ms",
+             LC_I64 (lc_member_silence_us (member, now_us) / LC_US_PER_MS), "left_out",
+             LC_U64 (member->view_limit.suppressed_total));
+}
+
 static void
 lc_member__view_changed (LcMember *member, const LcViewOp *ops, size_t n_ops, bool is_reset)
 {
   const LcView *view = &member->sync.view;
 
   lc_metric_set (member->revision_gauge, (int64_t)view->revision);
+  lc_member__log_view (member, n_ops, is_reset);
   if (member->desc.kind == LC_MEMBER_AGENT)
     lc_member__note_self (member, lc_clock_now_us ());
   else if (is_reset)
--- a/src/controller/lc-member.h
+++ b/src/controller/lc-member.h
@@ -138,6 +138,7 @@
   LcMetric *moves_total;
   LcMetric *malformed_total;
   LcLogLimit log_limit;
+  LcLogLimit view_limit;
 };
 
 int lc_member_init (LcMember *member, const LcMemberDesc *desc, LcError *error);
--- a/src/core/flow/lc-flow-agent.h
+++ b/src/core/flow/lc-flow-agent.h
@@ -105,6 +105,20 @@
     };
   } LcFlowAction;
 
+  /* What a packet of the backend server answers. */
+  typedef enum
+  {
+    LC_FLOW_ANSWER_NONE = 0,
+    LC_FLOW_ANSWER_OPENED = 1, /* the flow's first packet */
+    LC_FLOW_ANSWER_BEGUN = 2,  /* a request: its answer begins */
+  } LcFlowAnswerKind;
+
+  typedef struct
+  {
+    LcFlowAnswerKind kind;
+    int64_t after_us; /* since the packet that it answers; whole milliseconds */
+  } LcFlowAnswer;
+
   typedef struct
   {
     uint64_t delivered_total;
--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -92,12 +92,25 @@
   return drop;
 }
 
+static uint32_t
+lc_flow_return__ms (int64_t now_us)
+{
+  return (uint32_t)(now_us / LC_US_PER_MS);
+}
+
 /* A first packet remembers the hops that it has left while the backend server looks at it. */
 static LcFlowAction
-lc_flow_return__marked (LcFlowAction action, const LcEnvelope *e, const LcPacket *packet)
+lc_flow_return__marked (LcFlowAgent *a,
+                        LcFlowAction action,
+                        const LcEnvelope *e,
+                        const LcPacket *packet,
+                        int64_t now_us)
 {
-  if (action.kind == LC_FLOW_ACTION_DELIVER)
-    action.deliver.mark = packet->may_open ? e->hops_left : LC_FLOW_MARK_NONE;
+  if (action.kind != LC_FLOW_ACTION_DELIVER)
+    return action;
+  action.deliver.mark = packet->may_open ? e->hops_left : LC_FLOW_MARK_NONE;
+  if (action.deliver.is_new)
+    a->table.flows[action.deliver.flow].work_ms = lc_flow_return__ms (now_us);
   return action;
 }
 
@@ -109,7 +122,7 @@
 
   if (action.kind == LC_FLOW_ACTION_DROP)
     return lc_flow_return__fail (action, packet);
-  return lc_flow_return__marked (action, e, packet);
+  return lc_flow_return__marked (a, action, e, packet, now_us);
 }
 
 /* Takes the flow if it may, else sends the packet back to the assigner. */
@@ -119,16 +132,18 @@
 {
   if (!lc_flow_agent__is_accepting (a))
     return lc_flow_agent__refuse (a, e, LC_DROP_LEAVING);
-  return lc_flow_return__marked (lc_flow_agent__take (a, f, packet, now_us), e, packet);
+  return lc_flow_return__marked (a, lc_flow_agent__take (a, f, packet, now_us), e, packet, now_us);
 }
 
 /* === private: requests at work ============================================================== */
 
 static void
-lc_flow_return__set_at_work (LcFlowAgent *a, LcFlow *f, bool is_at_work)
+lc_flow_return__set_at_work (LcFlowAgent *a, LcFlow *f, bool is_at_work, int64_t now_us)
 {
   if (((f->flags & LC_FLOW_AT_WORK) != 0) == is_at_work)
     return;
+  if (is_at_work)
+    f->work_ms = lc_flow_return__ms (now_us);
   f->flags ^= LC_FLOW_AT_WORK;
   a->n_at_work += is_at_work ? 1 : -1;
 }
@@ -239,9 +254,9 @@
     {
       lc_flow_return__remind_homes (a, f, e);
       if (lc_flow_return__has_data (packet))
-        lc_flow_return__set_at_work (a, f, true);
-      return lc_flow_return__marked (lc_flow_agent__deliver (a, f, packet, false, now_us), e,
-                                     packet);
+        lc_flow_return__set_at_work (a, f, true, now_us);
+      return lc_flow_return__marked (a, lc_flow_agent__deliver (a, f, packet, false, now_us), e,
+                                     packet, now_us);
     }
   switch ((LcEnvelopeMode)e->mode)
     {
@@ -297,18 +312,45 @@
   return lc_flow_return__give_on (a, e, packet, now_us);
 }
 
-void
+LcFlowKey
+lc_flow_return_key (const LcPacket *packet)
+{
+  LcFlowKey key = packet->key;
+
+  key.source_ipv4 = packet->key.target_ipv4;
+  key.source_port = packet->key.target_port;
+  key.target_ipv4 = packet->key.source_ipv4;
+  key.target_port = packet->key.source_port;
+  return key;
+}
+
+/* What the packet answers, before the flow remembers that it was answered. */
+static LcFlowAnswer
+lc_flow_return__answer (const LcFlow *f, const LcPacket *packet, int64_t now_us)
+{
+  LcFlowAnswer answer = { .kind = LC_FLOW_ANSWER_NONE };
+
+  if (f == NULL || f->kind != LC_FLOW_OWNED || packet->is_reset)
+    return answer;
+  if (packet->is_accept && (f->flags & LC_FLOW_ANSWERED) == 0 && f->work_ms != 0)
+    answer.kind = LC_FLOW_ANSWER_OPENED;
+  else if ((f->flags & LC_FLOW_AT_WORK) != 0 && lc_flow_return__has_data (packet))
+    answer.kind = LC_FLOW_ANSWER_BEGUN;
+  answer.after_us = (int64_t)(lc_flow_return__ms (now_us) - f->work_ms) * LC_US_PER_MS;
+  return answer;
+}
+
+LcFlowAnswer
 lc_flow_return_answered (LcFlowAgent *a, const LcPacket *packet, int64_t now_us)
 {
   LcPacket of_caller = *packet;
+  LcFlowAnswer answer;
   LcFlow *f;
 
-  of_caller.key.source_ipv4 = packet->key.target_ipv4;
-  of_caller.key.source_port = packet->key.target_port;
-  of_caller.key.target_ipv4 = packet->key.source_ipv4;
-  of_caller.key.target_port = packet->key.source_port;
+  of_caller.key = lc_flow_return_key (packet);
   of_caller.may_open = false;
   f = lc_flow_table_find (&a->table, &of_caller.key, lc_flow_key_hash (&of_caller.key));
+  answer = lc_flow_return__answer (f, packet, now_us);
   a->arrival_dc = 0;
   if (f != NULL && f->kind == LC_FLOW_OWNED)
     (void)lc_flow_agent__deliver (a, f, &of_caller, false, now_us);
@@ -316,10 +358,11 @@
     (void)lc_flow_agent__take (a, f, &of_caller, now_us);
   f = lc_flow_table_find (&a->table, &of_caller.key, lc_flow_key_hash (&of_caller.key));
   if (f == NULL || f->kind != LC_FLOW_OWNED)
-    return;
+    return answer;
   f->flags |= LC_FLOW_ANSWERED;
   if (lc_flow_return__has_data (packet))
-    lc_flow_return__set_at_work (a, f, false);
+    lc_flow_return__set_at_work (a, f, false, now_us);
+  return answer;
 }
 
 void
--- a/src/core/flow/lc-flow-return.h
+++ b/src/core/flow/lc-flow-return.h
@@ -56,8 +56,11 @@
                                         LcEnvelope *envelope,
                                         const LcPacket *packet,
                                         int64_t now_us);
-  /* The backend server sent this packet to a caller. */
-  void lc_flow_return_answered (LcFlowAgent *agent, const LcPacket *packet, int64_t now_us);
+  /* The backend server sent this packet to a caller; the answer's key is the packet's, from the
+   * service to the caller. */
+  LcFlowAnswer lc_flow_return_answered (LcFlowAgent *agent, const LcPacket *packet, int64_t now_us);
+  /* The key of the flow that a packet of the backend server belongs to: the caller's own. */
+  LcFlowKey lc_flow_return_key (const LcPacket *packet);
   /* Whom a search asks: every other endpoint of the service, in whatever state. */
   uint32_t lc_flow_return_others (const LcFlowAgent *agent,
                                   uint64_t key_hash,
--- a/src/core/flow/lc-flow-table.h
+++ b/src/core/flow/lc-flow-table.h
@@ -79,12 +79,13 @@
     uint32_t wheel_slot;
     uint32_t queue_next;
     uint32_t queue_prev;
-    uint32_t sets_version;   /* OWNED: which homes `acked` speaks of */
-    uint32_t sent_ms;        /* OWNED: last registration sent */
-    uint32_t expiry_tick;    /* OWNED: idle until then and it ends */
-    uint16_t acked;          /* OWNED: a bit a home */
-    uint16_t relay_port;     /* OWNED: source port of the relay, for hand-over; 0: none */
-    uint32_t epoch;          /* OWNED, POINTER: hand-overs so far; the higher claim wins */
+    uint32_t sets_version; /* OWNED: which homes `acked` speaks of */
+    uint32_t sent_ms;      /* OWNED: last registration sent */
+    uint32_t work_ms;      /* OWNED: when what the backend server has not answered yet was given */
+    uint32_t expiry_tick;  /* OWNED: idle until then and it ends */
+    uint16_t acked;        /* OWNED: a bit a home */
+    uint16_t relay_port;   /* OWNED: source port of the relay, for hand-over; 0: none */
+    uint32_t epoch;        /* OWNED, POINTER: hand-overs so far; the higher claim wins */
     LcEndpointId offered_id; /* OWNED: a hand-over was offered to this agent; 0: none */
     LcInstance offered_instance;
     LcDcId dc;     /* OWNED: where the flow's packets come in; 0: not known */
--- a/src/core/flow/lc-reach.c
+++ b/src/core/flow/lc-reach.c
@@ -9,6 +9,7 @@
   int64_t probed_us;     /* last probe; 0: none */
   int64_t unanswered_us; /* the first probe since the last answer; 0: none */
   bool was_suspect;
+  bool told_suspect; /* what lc_reach_next_change said last */
 } LcReachAgent;
 
 /* === private ================================================================================ */
@@ -140,3 +141,26 @@
 
   return a != NULL && lc_reach__is_late (a, now_us);
 }
+
+bool
+lc_reach_next_change (LcReach *r, int64_t now_us, LcReachChange *change)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, r->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      LcReachAgent *a = value;
+      bool is_late = lc_reach__is_late (a, now_us);
+
+      if (is_late == a->told_suspect)
+        continue;
+      a->told_suspect = is_late;
+      change->address = a->address;
+      change->is_suspect = is_late;
+      change->silent_us = is_late ? now_us - a->unanswered_us : 0;
+      return true;
+    }
+  return false;
+}
--- a/src/core/flow/lc-reach.h
+++ b/src/core/flow/lc-reach.h
@@ -13,7 +13,8 @@
  *     n = lc_reach_due (&reach, now_us, out, max);       probe these now; at each tick
  *     lc_reach_answered (&reach, ipv4, port, now_us);
  *     lc_reach_is_suspect (&reach, ipv4, port, now_us)
- *     lc_reach_finish (&reach);
+ *     while (lc_reach_next_change (&reach, now_us, &change)) say that it is suspect, or answers
+ * again lc_reach_finish (&reach);
  *
  * LIFETIME
  *   Owns its table.  An agent that gets no packet for LC_REACH_FORGET_US is forgotten.
@@ -50,6 +51,13 @@
     uint16_t port;
   } LcReachAddress;
 
+  typedef struct
+  {
+    LcReachAddress address;
+    bool is_suspect;
+    int64_t silent_us; /* since the probe that it left unanswered; 0: it answers */
+  } LcReachChange;
+
   void lc_reach_init (LcReach *reach);
   void lc_reach_finish (LcReach *reach);
   void lc_reach_used (LcReach *reach, const LcCandidate *to, int64_t now_us);
@@ -61,6 +69,8 @@
   bool lc_reach_is_alone (LcReach *reach, int64_t now_us);
   /* Whether any agent is suspect now. */
   bool lc_reach_has_suspects (const LcReach *reach, int64_t now_us);
+  /* An agent of which something else holds now than was told here before; false: none. */
+  bool lc_reach_next_change (LcReach *reach, int64_t now_us, LcReachChange *change);
   bool lc_reach_is_suspect (const LcReach *reach, uint32_t ipv4, uint16_t port, int64_t now_us);
 
 #ifdef __cplusplus
--- a/src/core/member/lc-lease.c
+++ b/src/core/member/lc-lease.c
@@ -60,6 +60,35 @@
   return lc_member_change_is_balancer (change) ? change->balancer.name : change->endpoint.name;
 }
 
+const char *
+lc_member_change_kind_name (LcMemberChangeKind kind)
+{
+  switch (kind)
+    {
+    case LC_MEMBER_ENDPOINT_ANNOUNCED:
+      return "endpoint-announced";
+    case LC_MEMBER_ENDPOINT_RAMPED:
+      return "endpoint-ramped";
+    case LC_MEMBER_ENDPOINT_LEAVING:
+      return "endpoint-leaving";
+    case LC_MEMBER_ENDPOINT_GONE:
+      return "endpoint-gone";
+    case LC_MEMBER_ENDPOINT_LOST:
+      return "endpoint-lost";
+    case LC_MEMBER_BALANCER_ANNOUNCED:
+      return "balancer-announced";
+    case LC_MEMBER_BALANCER_LEAVING:
+      return "balancer-leaving";
+    case LC_MEMBER_BALANCER_GONE:
+      return "balancer-gone";
+    case LC_MEMBER_BALANCER_LOST:
+      return "balancer-lost";
+    case LC_MEMBER_SETTLED:
+      return "settled";
+    }
+  return "unknown";
+}
+
 LcInstance
 lc_member_change_instance (const LcMemberChange *change)
 {
--- a/src/core/member/lc-lease.h
+++ b/src/core/member/lc-lease.h
@@ -88,6 +88,8 @@
   bool lc_member_change_is_balancer (const LcMemberChange *change);
   const char *lc_member_change_name (const LcMemberChange *change);
   LcInstance lc_member_change_instance (const LcMemberChange *change);
+  /* "endpoint-lost" and so on, for logs. */
+  const char *lc_member_change_kind_name (LcMemberChangeKind kind);
 
 #ifdef __cplusplus
 }
--- a/src/io/lc-flow-meter.c
+++ b/src/io/lc-flow-meter.c
@@ -1,7 +1,5 @@
 #include "lc-flow-meter.h"
 
-#include "lc-log.h"
-
 void
 lc_flow_meter_add (LcFlowMeter *meter,
                    LcMetrics *metrics,
@@ -43,11 +41,3 @@
       meter->lines[i].brought = total;
     }
 }
-
-void
-lc_flow_meter_log (const char *event, const char *reason, const LcFlowKey *key)
-{
-  LC_WARN (event, "reason", LC_STR (reason), "caller_ipv4", LC_U64 (key->source_ipv4),
-           "caller_port", LC_U64 (key->source_port), "service_ipv4", LC_U64 (key->target_ipv4),
-           "service_port", LC_U64 (key->target_port));
-}
--- a/src/io/lc-flow-meter.h
+++ b/src/io/lc-flow-meter.h
@@ -1,4 +1,4 @@
-/* lc-flow-meter: brings plain totals of the flow plane to the metrics, and its drops to the log.
+/* lc-flow-meter: brings plain totals of the flow plane to the metrics.
  *
  * WHAT IT IS
  *   Decisions and ports count in plain integers.  A meter remembers what of each it has brought to
@@ -16,7 +16,6 @@
 #define LC_FLOW_METER_H
 
 #include "core/flow/lc-envelope.h"
-#include "core/flow/lc-flow-key.h"
 #include "lc-metrics.h"
 
 enum
@@ -45,8 +44,4 @@
 void lc_flow_meter_add_drops (LcFlowMeter *meter, LcMetrics *metrics, const uint64_t *totals);
 void lc_flow_meter_bring (LcFlowMeter *meter);
 
-/* Logs what became of a packet ("flow.dropped", "flow.reset"), why, and of which flow: the caller's
- * address and port and the service's.  The caller of this limits the rate (lc_log_allow). */
-void lc_flow_meter_log (const char *event, const char *reason, const LcFlowKey *key);
-
 #endif /* LC_FLOW_METER_H */
--- a/src/io/lc-log.c
+++ b/src/io/lc-log.c
@@ -241,11 +241,31 @@
   return true;
 }
 
+static void
+lc_log__end (LcLogLevel level, GString *line)
+{
+  GLogField field = { .key = "LC_LINE", .length = -1 };
+
+  g_string_append (line, "}\n");
+  field.value = line->str;
+  g_log_structured_array (lc_log__flags (level), &field, 1);
+  g_string_free (line, TRUE);
+}
+
+void
+lc_log_fields (LcLogLevel level, const char *event, const LcLogField *fields, uint32_t n)
+{
+  GString *line = lc_log__begin (level, event);
+
+  for (uint32_t i = 0; i < n; i++)
+    lc_log__append_field (line, fields[i].key, &fields[i].value);
+  lc_log__end (level, line);
+}
+
 void
 lc_log_event (LcLogLevel level, const char *event, ...)
 {
   GString *line = lc_log__begin (level, event);
-  GLogField field = { .key = "LC_LINE" };
   va_list args;
 
   va_start (args, event);
@@ -260,9 +280,5 @@
       lc_log__append_field (line, key, &value);
     }
   va_end (args);
-  g_string_append (line, "}\n");
-  field.value = line->str;
-  field.length = -1;
-  g_log_structured_array (lc_log__flags (level), &field, 1);
-  g_string_free (line, TRUE);
+  lc_log__end (level, line);
 }
--- a/src/io/lc-log.h
+++ b/src/io/lc-log.h
@@ -71,6 +71,14 @@
 /* Lines that found no room, since the start. */
 uint64_t lc_log_dropped_total (void);
 bool lc_log_allow (LcLogLimit *limit, int64_t now_us, uint32_t per_s);
+typedef struct
+{
+  const char *key;
+  LcLogValue value;
+} LcLogField;
+
+/* The same line from an array, for fields that depend on the case. */
+void lc_log_fields (LcLogLevel level, const char *event, const LcLogField *fields, uint32_t n);
 /* Pairs of (const char *key, LcLogValue value), ended by a NULL key. */
 void lc_log_event (LcLogLevel level, const char *event, ...);
 
--- a/tests/platform/test-observe.c
+++ b/tests/platform/test-observe.c
@@ -1,6 +1,6 @@
 /* Metrics text and log lines as a program would read them; the admin HTTP port's life. */
 #include "io/lc-clock.h"
-#include "io/lc-flow-meter.h"
+#include "io/lc-flow-log.h"
 #include "io/lc-http.h"
 #include "io/lc-log.h"
 #include "io/lc-metrics.h"
@@ -108,36 +108,132 @@
            LC_I64 (-3), "d", LC_DBL (0.5));
 }
 
+/* === lines about flows ====================================================================== */
+
+static const LcFlowKey FLOW = {
+  .source_ipv4 = 0x7f000001, .source_port = 1034, .target_ipv4 = 0xc6120001, .target_port = 8443
+};
+
+/* Whatever program wrote it, the line names the flow, what decided and what came of it. */
+static const struct
+{
+  LcFlowLogLine line;
+  const char *json; /* without time, level, program and name */
+} FLOW_LINES[] = {
+  { { .kind = LC_FLOW_LOG_DROPPED, .key = &FLOW, .why = "no-service" },
+    "{\"event\":\"flow.dropped\",\"flow\":\"127.0.0.1:1034>198.18.0.1:8443\",\"why\":\"no-"
+    "service\"}" },
+  { { .kind = LC_FLOW_LOG_STEERED,
+      .key = &FLOW,
+      .to = { .ipv4 = 0x0a010002, .port = 7100 },
+      .revision = 9,
+      .view_age_us = 42000,
+      .n_copies = 1 },
+    "{\"event\":\"flow.steered\",\"flow\":\"127.0.0.1:1034>198.18.0.1:8443\",\"to\":\"10.1.0.2:"
+    "7100\","
+    "\"revision\":9,\"view_age_ms\":42,\"copies\":1}" },
+  { { .kind = LC_FLOW_LOG_LATE,
+      .key = &FLOW,
+      .why = "answered late",
+      .n_at_work = 4,
+      .after_us = 170000 },
+    "{\"event\":\"flow.late\",\"flow\":\"127.0.0.1:1034>198.18.0.1:8443\",\"why\":\"answered "
+    "late\","
+    "\"at_work\":4,\"after_ms\":170}" },
+  { { .kind = LC_FLOW_LOG_SEARCHED, .key = &FLOW, .n_asked = 6 },
+    "{\"event\":\"flow.searched\",\"flow\":\"127.0.0.1:1034>198.18.0.1:8443\",\"asked\":6}" },
+};
+
 static void
-write_drop (const void *user)
+write_flow (const void *user)
 {
-  lc_flow_meter_log ("flow.dropped", lc_drop_reason_name (LC_DROP_NO_SERVICE), user);
+  LcFlowLog log = { 0 };
+
+  lc_flow_log (&log, user, 1);
 }
 
-/* The line of a drop names the flow, whatever program wrote it. */
-START_TEST (test_drop_names_its_flow)
+START_TEST (test_flow_lines)
 {
-  static const LcFlowKey key = {
-    .source_ipv4 = 0x7f000001, .source_port = 1034, .target_ipv4 = 0xc6120001, .target_port = 8443
-  };
-  static const struct
-  {
-    const char *name;
-    json_int_t value;
-  } fields[] = { { "caller_ipv4", 0x7f000001 },
-                 { "caller_port", 1034 },
-                 { "service_ipv4", 0xc6120001 },
-                 { "service_port", 8443 } };
+  static const char *const COMMON[] = { "time", "level", "program", "name" };
+  json_t *wanted = json_loads (FLOW_LINES[_i].json, 0, NULL);
   json_t *line;
 
   lc_log_init (LC_LOG_INFO, "lychee-test", "vm-1");
-  line = line_of (write_drop, &key);
+  line = line_of (write_flow, &FLOW_LINES[_i].line);
   ck_assert_ptr_nonnull (line);
-  ck_assert_str_eq (json_string_value (json_object_get (line, "event")), "flow.dropped");
-  ck_assert_str_eq (json_string_value (json_object_get (line, "reason")), "no-service");
-  for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
-    ck_assert_int_eq (json_integer_value (json_object_get (line, fields[i].name)), fields[i].value);
+  ck_assert_ptr_nonnull (wanted);
+  for (size_t i = 0; i < G_N_ELEMENTS (COMMON); i++)
+    ck_assert_int_eq (json_object_del (line, COMMON[i]), 0);
+  ck_assert (json_equal (line, wanted));
   json_decref (line);
+  json_decref (wanted);
+}
+END_TEST
+
+/* A flood of one kind is cut off at its budget and said in the next line; another kind is not
+ * displaced by it. */
+enum
+{
+  N_FLOOD = 1000,
+  FLOOD_SECONDS = 3,
+};
+
+static void
+write_flood (void)
+{
+  LcFlowLogLine good = { .kind = LC_FLOW_LOG_ASSIGNED, .key = &FLOW };
+  LcFlowLogLine bad = { .kind = LC_FLOW_LOG_DROPPED, .key = &FLOW, .why = "no-service" };
+  LcFlowLog log = { 0 };
+
+  for (int s = 0; s < FLOOD_SECONDS; s++)
+    for (int i = 0; i < N_FLOOD; i++)
+      {
+        int64_t now_us = LC_US_PER_S * (s + 1) + i;
+
+        lc_flow_log (&log, &good, now_us);
+        if (i == N_FLOOD - 1)
+          lc_flow_log (&log, &bad, now_us);
+      }
+}
+
+START_TEST (test_flow_flood)
+{
+  char path[] = "/tmp/lychee-test-flood.XXXXXX";
+  int fd = mkstemp (path);
+  int saved = dup (STDOUT_FILENO);
+  uint32_t n_good = 0;
+  uint32_t n_bad = 0;
+  json_int_t n_left_out = 0;
+  FILE *in;
+  char text[1024];
+
+  lc_log_init (LC_LOG_INFO, "lychee-test", "vm-1");
+  (void)fflush (stdout);
+  (void)dup2 (fd, STDOUT_FILENO);
+  write_flood ();
+  (void)dup2 (saved, STDOUT_FILENO);
+  close (saved);
+  close (fd);
+  in = fopen (path, "r");
+  while (fgets (text, sizeof text, in) != NULL)
+    {
+      json_t *line = json_loads (text, 0, NULL);
+      const char *event = json_string_value (json_object_get (line, "event"));
+
+      if (event == NULL)
+        continue;
+      n_good += strcmp (event, "flow.assigned") == 0;
+      n_bad += strcmp (event, "flow.dropped") == 0;
+      n_left_out += json_integer_value (json_object_get (line, "left_out"));
+      json_decref (line);
+    }
+  (void)fclose (in);
+  unlink (path);
+  ck_assert_uint_eq (n_bad, FLOOD_SECONDS);
+  ck_assert_uint_le (n_good + n_bad, FLOOD_SECONDS * LC_FLOW_LOG_PER_S);
+  ck_assert_uint_ge (n_good, FLOOD_SECONDS);
+  /* What was left out in the last second is told by the next line, which never came. */
+  ck_assert_int_eq (n_left_out, (FLOOD_SECONDS - 1) * (N_FLOOD - n_good / FLOOD_SECONDS));
 }
 END_TEST
 
@@ -315,7 +411,8 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_test (tcase, test_metrics_text);
   tcase_add_loop_test (tcase, test_histogram, 0, G_N_ELEMENTS (BUCKETS));
-  tcase_add_test (tcase, test_drop_names_its_flow);
+  tcase_add_loop_test (tcase, test_flow_lines, 0, (int)G_N_ELEMENTS (FLOW_LINES));
+  tcase_add_test (tcase, test_flow_flood);
   tcase_add_loop_test (tcase, test_log_line, 0, G_N_ELEMENTS (TEXTS));
   tcase_add_test (tcase, test_log_never_blocks);
   tcase_add_test (tcase, test_log_limit);
