Control: members greet the VMs of their settings, so that those without a disk know them after a loss of all power

Change: a member greets the VMs of its newest settings, also after a reload, and a VM that stands by greets back whoever greets it; replies name the members as formed, too. Ruled out: waiting for members to be told by balancers, which know nobody either.

Tests, failing first: HealingTest and HealingOfThreeTest test_settings_name_only_vms_without_disks.

--- a/src/control/lc-replica-form.c
+++ b/src/control/lc-replica-form.c
@@ -133,10 +133,8 @@
 static bool
 lc_replica__is_setting (const LcReplica *replica, const LcReplicaPeer *peer)
 {
-  const LcControlSettings *s = replica->desc.settings;
-
-  for (uint32_t i = 0; i < s->n_members; i++)
-    if (s->members[i].ipv4 == peer->ipv4 && s->members[i].port == peer->port)
+  for (uint32_t i = 0; i < replica->n_seeds; i++)
+    if (replica->seeds[i].ipv4 == peer->ipv4 && replica->seeds[i].port == peer->port)
       return true;
   return false;
 }
@@ -148,8 +146,8 @@
 
   if (lc_raft_config_find_address (&replica->raft.config, peer->ipv4, peer->port) != NULL)
     return true;
-  if (!replica->is_formed &&
-      (lc_replica__is_setting (replica, peer) || lc_replica__is_learned (replica, peer)))
+  if (lc_replica__is_setting (replica, peer) ||
+      (!replica->is_formed && lc_replica__is_learned (replica, peer)))
     return true;
   if (replace->is_active && replace->replacement.ipv4 == peer->ipv4 &&
       replace->replacement.peer_port == peer->port)
@@ -190,7 +188,8 @@
     lc_link_client_retarget (&peer->client, ipv4, port);
 }
 
-/* A blank replica that greets is greeted back, so that it is known where it stands by. */
+/* A blank replica that greets is greeted back, so that it is known where it stands by.  One that
+ * stands by itself greets everybody back: it learns the members so. */
 void
 lc_replica__on_hello (LcReplica *replica, LcLink *link, const LcFrame *frame)
 {
@@ -204,7 +203,7 @@
     }
   if (m->replica != 0 && m->replica != replica->id && m->ipv4 != 0 && m->port != 0 &&
       m->port <= UINT16_MAX &&
-      (m->cluster == 0 ||
+      (m->cluster == 0 || !replica->is_formed ||
        lc_raft_config_find_address (&replica->raft.config, m->ipv4, (uint16_t)m->port) != NULL))
     lc_replica__reach_back (replica, m->ipv4, (uint16_t)m->port);
   lc__wire__control_hello__free_unpacked (m, NULL);
@@ -386,22 +385,36 @@
               "it by `lychee plan replace-control-vm OLD --with NAME=ADDRESS:PORT`"));
 }
 
+/* Greets the VMs of the settings, but for those that answered within `sure_us`. */
 static void
-lc_replica__greet_all (LcReplica *replica)
+lc_replica__greet_seeds (LcReplica *replica, int64_t sure_us)
 {
-  const LcControlSettings *s = replica->desc.settings;
+  int64_t now_us = lc_replica__now_us ();
 
-  for (uint32_t i = 0; i < s->n_members; i++)
+  for (uint32_t i = 0; i < replica->n_seeds; i++)
     {
       LcReplicaPeer *peer;
 
-      if (lc_replica__is_self (replica, &s->members[i]))
+      if (lc_replica__is_self (replica, &replica->seeds[i]))
         continue;
-      peer = lc_replica__peer (replica, s->members[i].ipv4, s->members[i].port);
-      if (peer != NULL)
+      peer = lc_replica__peer (replica, replica->seeds[i].ipv4, replica->seeds[i].port);
+      if (peer != NULL && (peer->heard_us == 0 || now_us - peer->heard_us >= sure_us))
         lc_replica__say_hello (peer, lc_link_client_link (&peer->client));
     }
-  lc_replica__greet_learned (replica);
+}
+
+/* VMs of the settings may stand by, and know nobody else: a member tells them where it is. */
+void
+lc_replica__greet_strangers (LcReplica *replica)
+{
+  lc_replica__greet_seeds (replica, LC_REPLICA_SURE_US);
+}
+
+void
+lc_replica_set_seeds (LcReplica *replica, const LcSocketAddress *seeds, uint32_t n)
+{
+  replica->n_seeds = MIN (n, (uint32_t)LC_CONTROL_MEMBERS_MAX);
+  memcpy (replica->seeds, seeds, replica->n_seeds * sizeof *seeds);
 }
 
 void
@@ -429,7 +442,8 @@
       g_bytes_unref (bytes);
       return;
     }
-  lc_replica__greet_all (replica);
+  lc_replica__greet_seeds (replica, 0);
+  lc_replica__greet_learned (replica);
 }
 
 /* A message to this VM's random id proves that the sender's cluster has added it, since only those
--- a/src/control/lc-replica-private.h
+++ b/src/control/lc-replica-private.h
@@ -34,8 +34,8 @@
 void lc_replica__say_hello (LcReplicaPeer *peer, LcLink *link);
 void lc_replica__answer_hello (LcReplica *replica, LcLink *link);
 void lc_replica__on_hello_reply (LcReplica *replica, LcLink *link, const LcFrame *frame);
-/* The newest committed members, those that this VM leads by or has learned; returns where in the
- * log they were set, 0: none is known. */
+/* The newest committed members, those that this VM leads by or has learned; returns one more than
+ * where in the log they were set (1: as the cluster was formed), 0: none is known. */
 uint64_t lc_replica__members (const LcReplica *replica, LcRaftConfig *members);
 /* A reply names the members: a VM that stands by greets them, too; one that they leave out, though
  * it was one of them, starts over at the next tick. */
@@ -52,6 +52,7 @@
 /* A log message reached a VM that belongs to no cluster yet: whether it may join. */
 bool lc_replica__may_join (LcReplica *replica, const LcRaftMessage *message, uint64_t cluster);
 void lc_replica__form_step (LcReplica *replica);
+void lc_replica__greet_strangers (LcReplica *replica);
 void lc_replica__replace_step (LcReplica *replica);
 /* The next step towards the wanted number of voters; on the leader. */
 void lc_replica__heal_step (LcReplica *replica);
--- a/src/control/lc-replica-standby.c
+++ b/src/control/lc-replica-standby.c
@@ -51,7 +51,7 @@
       return replica->learned.members_index;
     }
   *members = raft->config;
-  return raft->config_index <= raft->commit_index ? raft->config_index : 0;
+  return raft->config_index <= raft->commit_index ? raft->config_index + 1 : 0;
 }
 
 /* Only a later set of members than the one that named this replica proves that it was removed: a
@@ -62,19 +62,24 @@
                          const LcReplicaLearned *learned)
 {
   return replica->is_formed && peer->cluster == replica->cluster && learned->members_index > 0 &&
-         learned->members_index > replica->raft.config_index &&
+         learned->members_index > replica->raft.config_index + 1 &&
          lc_raft_config_find (&learned->members, replica->id) == NULL;
 }
 
 void
 lc_replica__learn (LcReplica *replica, const LcReplicaPeer *peer, const LcReplicaLearned *learned)
 {
+  bool is_first;
+
   if (lc_replica__is_left_out (replica, peer, learned))
     replica->is_removed = true;
   if (replica->is_formed || learned->members_index == 0 ||
       learned->members_index < replica->learned.members_index)
     return;
+  is_first = replica->learned.members_index == 0;
   replica->learned = *learned;
+  if (is_first)
+    lc_replica__greet_learned (replica);
 }
 
 bool
--- a/src/control/lc-replica.c
+++ b/src/control/lc-replica.c
@@ -286,7 +286,10 @@
   else if (lc_raft_is_leader (&replica->raft) && replica->desc.settings->heals)
     lc_replica__heal_step (replica);
   if (replica->is_formed)
-    lc_replica__link_members (replica);
+    {
+      lc_replica__link_members (replica);
+      lc_replica__greet_strangers (replica);
+    }
   lc_replica__expire_peers (replica);
 }
 
@@ -365,6 +368,7 @@
 
   memset (replica, 0, sizeof *replica);
   replica->desc = *desc;
+  lc_replica_set_seeds (replica, desc->settings->members, desc->settings->n_members);
   lc_replica__init_metrics (replica);
   r = lc_replica__has_disk (replica) ? lc_replica__open_disk (replica, error) : 0;
   if (r < 0)
--- a/src/control/lc-replica.h
+++ b/src/control/lc-replica.h
@@ -81,7 +81,7 @@
 typedef struct
 {
   LcRaftConfig members;
-  uint64_t members_index; /* where in the log they were set; 0: nothing is known */
+  uint64_t members_index; /* one more than where in the log they were set; 0: nothing is known */
   LcReplicaId leader;
 } LcReplicaLearned;
 
@@ -117,6 +117,8 @@
   LcControlState state;
   GArray *ops; /* LcViewOp applied since `applied` was last called */
   LcReplicaPeer *peers[LC_REPLICA_PEERS_MAX];
+  LcSocketAddress seeds[LC_CONTROL_MEMBERS_MAX]; /* VMs of the newest settings */
+  uint32_t n_seeds;
   LcTimer timer;
   LcReplicaMetrics metrics;
   LcLogLimit log_limit;
@@ -142,6 +144,8 @@
 /* 0: proposed, or handed to the leader; the outcome shows in the state.  LC_ERR_UNAVAILABLE: no
  * leader is known now. */
 int lc_replica_propose (LcReplica *replica, const LcControlCommand *command, LcError *error);
+/* The settings name other VMs to start from.  Who founded the cluster stays as it was. */
+void lc_replica_set_seeds (LcReplica *replica, const LcSocketAddress *seeds, uint32_t n);
 /* A planned stop: hands leadership over. */
 void lc_replica_leave (LcReplica *replica);
 /* Whether leadership is handed over, or there is nobody to hand it to. */
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -127,6 +127,17 @@
          !p->replica.has_disk_full;
 }
 
+/* The settings name other VMs to start from. */
+static void
+lc_control__on_reload (void *user, const void *settings)
+{
+  LcControlProgram *p = user;
+  LcControlSettings fresh = *(const LcControlSettings *)settings;
+
+  lc_settings_set_ports (fresh.members, fresh.n_members, fresh.members_peer_port);
+  lc_replica_set_seeds (&p->replica, fresh.members, fresh.n_members);
+}
+
 /* === start ================================================================================== */
 
 static int
@@ -192,7 +203,8 @@
   LcAppDesc desc = { .program = "lychee-control",
                      .schema = &LC_CONTROL_SCHEMA,
                      .settings = &p.settings,
-                     .check = lc_control_settings_check };
+                     .check = lc_control_settings_check,
+                     .reload = lc_control__on_reload };
   LcError error = { 0 };
   int r = lc_app_init (&p.app, &desc, argc, argv);
 
