Control: who stands by asks everybody it knows again; tests of lost disks wait for the right thing

It now asks every peer at each slow tick. Two more failures were the test's own: it lost two more disks before the first two had been taken in again (so four of five), and waited for both lost VMs to join though the one that stood by may take the place of one.

--- a/src/control/lc-replica-form.c
+++ b/src/control/lc-replica-form.c
@@ -385,29 +385,41 @@
               "it by `lychee plan replace-control-vm OLD --with NAME=ADDRESS:PORT`"));
 }
 
-/* Greets the VMs of the settings, but for those that answered within `sure_us`. */
+/* Makes links to the VMs of the settings. */
 static void
-lc_replica__greet_seeds (LcReplica *replica, int64_t sure_us)
+lc_replica__link_seeds (LcReplica *replica)
+{
+  for (uint32_t i = 0; i < replica->n_seeds; i++)
+    if (!lc_replica__is_self (replica, &replica->seeds[i]))
+      (void)lc_replica__peer (replica, replica->seeds[i].ipv4, replica->seeds[i].port);
+}
+
+/* VMs of the settings may stand by, and know nobody else: a member tells them where it is. */
+void
+lc_replica__greet_strangers (LcReplica *replica)
 {
   int64_t now_us = lc_replica__now_us ();
 
-  for (uint32_t i = 0; i < replica->n_seeds; i++)
+  lc_replica__link_seeds (replica);
+  for (uint32_t i = 0; i < LC_REPLICA_PEERS_MAX && replica->peers[i] != NULL; i++)
     {
-      LcReplicaPeer *peer;
+      LcReplicaPeer *peer = replica->peers[i];
 
-      if (lc_replica__is_self (replica, &replica->seeds[i]))
-        continue;
-      peer = lc_replica__peer (replica, replica->seeds[i].ipv4, replica->seeds[i].port);
-      if (peer != NULL && (peer->heard_us == 0 || now_us - peer->heard_us >= sure_us))
+      if (lc_replica__is_setting (replica, peer) &&
+          (peer->heard_us == 0 || now_us - peer->heard_us >= LC_REPLICA_SURE_US))
         lc_replica__say_hello (peer, lc_link_client_link (&peer->client));
     }
 }
 
-/* VMs of the settings may stand by, and know nobody else: a member tells them where it is. */
-void
-lc_replica__greet_strangers (LcReplica *replica)
+/* Everybody known is asked again and again: one that answered right after its start may not know
+ * yet which members are committed. */
+static void
+lc_replica__greet_all (LcReplica *replica)
 {
-  lc_replica__greet_seeds (replica, LC_REPLICA_SURE_US);
+  lc_replica__link_seeds (replica);
+  lc_replica__link_learned (replica);
+  for (uint32_t i = 0; i < LC_REPLICA_PEERS_MAX && replica->peers[i] != NULL; i++)
+    lc_replica__say_hello (replica->peers[i], lc_link_client_link (&replica->peers[i]->client));
 }
 
 void
@@ -442,8 +454,7 @@
       g_bytes_unref (bytes);
       return;
     }
-  lc_replica__greet_seeds (replica, 0);
-  lc_replica__greet_learned (replica);
+  lc_replica__greet_all (replica);
 }
 
 /* A message to this VM's random id proves that the sender's cluster has added it, since only those
--- a/src/control/lc-replica-private.h
+++ b/src/control/lc-replica-private.h
@@ -44,7 +44,7 @@
 bool lc_replica__is_learned (const LcReplica *replica, const LcReplicaPeer *peer);
 /* A member that knows no leader asks the others, one of which may know that it was removed. */
 void lc_replica__greet_members (LcReplica *replica);
-void lc_replica__greet_learned (LcReplica *replica);
+void lc_replica__link_learned (LcReplica *replica);
 void lc_replica__start_over (LcReplica *replica);
 /* Opens the data folder and gives an empty one its replica id. */
 int lc_replica__open_store (LcReplica *replica, LcError *error);
--- a/src/control/lc-replica-standby.c
+++ b/src/control/lc-replica-standby.c
@@ -16,22 +16,6 @@
   return NULL;
 }
 
-static void
-lc_replica__greet (LcReplica *replica, const LcRaftConfig *members)
-{
-  for (uint32_t i = 0; i < members->n_members; i++)
-    {
-      const LcRaftMember *member = &members->members[i];
-      LcReplicaPeer *peer;
-
-      if (member->id == replica->id)
-        continue;
-      peer = lc_replica__peer (replica, member->ipv4, member->peer_port);
-      if (peer != NULL)
-        lc_replica__say_hello (peer, lc_link_client_link (&peer->client));
-    }
-}
-
 /* === shared: learning ======================================================================= */
 
 bool
@@ -69,17 +53,13 @@
 void
 lc_replica__learn (LcReplica *replica, const LcReplicaPeer *peer, const LcReplicaLearned *learned)
 {
-  bool is_first;
-
   if (lc_replica__is_left_out (replica, peer, learned))
     replica->is_removed = true;
   if (replica->is_formed || learned->members_index == 0 ||
       learned->members_index < replica->learned.members_index)
     return;
-  is_first = replica->learned.members_index == 0;
   replica->learned = *learned;
-  if (is_first)
-    lc_replica__greet_learned (replica);
+  lc_replica__link_learned (replica); /* each is greeted when its link is up */
 }
 
 bool
@@ -89,15 +69,27 @@
 }
 
 void
-lc_replica__greet_learned (LcReplica *replica)
+lc_replica__link_learned (LcReplica *replica)
 {
-  lc_replica__greet (replica, &replica->learned.members);
+  const LcRaftConfig *members = &replica->learned.members;
+
+  for (uint32_t i = 0; i < members->n_members; i++)
+    (void)lc_replica__peer (replica, members->members[i].ipv4, members->members[i].peer_port);
 }
 
 void
 lc_replica__greet_members (LcReplica *replica)
 {
-  lc_replica__greet (replica, &replica->raft.config);
+  const LcRaftConfig *members = &replica->raft.config;
+
+  for (uint32_t i = 0; i < members->n_members; i++)
+    {
+      const LcRaftMember *member = &members->members[i];
+      LcReplicaPeer *peer = lc_replica__find_peer (replica, member->ipv4, member->peer_port);
+
+      if (peer != NULL && member->id != replica->id)
+        lc_replica__say_hello (peer, lc_link_client_link (&peer->client));
+    }
 }
 
 /* === shared: starting over ================================================================== */
--- a/tests/control/test_processes.py
+++ b/tests/control/test_processes.py
@@ -58,6 +58,7 @@
                        "members": [f"{m.address}:{m.peer}" for m in members]}, out)
 
     def start(self):
+        self.started_at = os.path.getsize(self.log.name)
         self.process = subprocess.Popen([CONTROL, "--settings", self.settings], stdout=self.log, stderr=self.log)
 
     def signal(self, number):
@@ -173,8 +174,9 @@
         return done["revision"]
 
     @staticmethod
-    def log_of(vm):
+    def log_of(vm, start=0):
         with open(vm.log.name, encoding="utf-8") as log:
+            log.seek(start)
             return log.read()
 
     def others(self, vm):
@@ -494,9 +496,18 @@
             self.leader([vm for vm in self.vms if vm not in lost])
             for vm in lost:
                 vm.start()
+            # Each has a new id: only once the old ids are gone may two more go.
+            self.wait("the lost ids are gone", lambda lost=lost: self.have_no_old_ids(lost))
             leader = self.settled()
             self.assertGreaterEqual(leader.status()["config_revision"], revision)
 
+    def have_no_old_ids(self, lost):
+        """Five vote, and each of the lost that is among them was taken in anew; the VM that stood
+        by may have the place of one."""
+        members = [m["name"] for m in self.settled().status()["members"]]
+        return len(members) == len(set(members)) == 5 and all(
+            vm.name not in members or "control.joined" in self.log_of(vm, vm.started_at) for vm in lost)
+
     def test_removed_while_frozen(self):
         """A voter that was replaced while it stood still stands by again, and is of use later."""
         self.open_market()
