Balancer: packets that come before the first view are held for it, not refused

Change: lc-packet-hold keeps the newest 256 packets until the first view, at most 1.2 s. Test: test-flow-core test_held_packets.

--- a/src/balancer/lc-balancer-flow.c
+++ b/src/balancer/lc-balancer-flow.c
@@ -75,43 +75,82 @@
 }
 
 static void
-lc_balancer_flow__on_datagram (void *user, uint8_t *bytes, size_t len, uint32_t ipv4, uint16_t port)
+lc_balancer_flow__steer (LcBalancerFlow *plane, uint8_t *bytes, const LcPacket *packet)
 {
-  LcBalancerFlow *plane = user;
   uint8_t header[LC_ENVELOPE_MAX_BYTES];
   LcEnvelope envelope;
   LcCandidate to;
-  LcPacket packet;
-  int r;
+  int r = lc_flow_balancer_steer (&plane->balancer, packet, &envelope, &to);
 
-  if (lc_envelope_kind (bytes, len) == LC_ENVELOPE_PROBE_ANSWER)
-    {
-      lc_reach_answered (&plane->reach, ipv4, port, lc_clock_now_us ());
-      return;
-    }
-  if (lc_packet_format_parse (lc_balancer_flow__format (plane), &packet, bytes, len) < 0 ||
-      packet.is_returned)
-    {
-      lc_balancer_flow__drop (plane, LC_DROP_MALFORMED,
-                              &(LcFlowKey){ .source_ipv4 = ipv4, .source_port = port });
-      return;
-    }
-  r = lc_flow_balancer_steer (&plane->balancer, &packet, &envelope, &to);
   if (r < 0)
     {
-      lc_balancer_flow__drop (plane, (LcDropReason)-r, &packet.key);
-      if (packet.may_open && packet.n_copies == 0)
-        lc_balancer_flow__reset (plane, &packet);
+      lc_balancer_flow__drop (plane, (LcDropReason)-r, &packet->key);
+      if (packet->may_open && packet->n_copies == 0)
+        lc_balancer_flow__reset (plane, packet);
       return;
     }
   plane->steered_total++;
-  if (packet.may_open)
-    lc_balancer_flow__log_steered (plane, &packet, &to);
+  if (packet->may_open)
+    lc_balancer_flow__log_steered (plane, packet, &to);
   if (plane->balancer.is_returning)
     lc_reach_used (&plane->reach, &to, lc_clock_now_us ());
   (void)lc_datagram_send (&plane->port, to.ipv4, to.port, header,
                           lc_envelope_encode (&envelope, header, sizeof header), bytes,
-                          packet.total_len);
+                          packet->total_len);
+}
+
+/* Before the first view nothing is known, not even that an address has no service. */
+static bool
+lc_balancer_flow__has_view (const LcBalancerFlow *plane)
+{
+  return plane->balancer.view != NULL && plane->balancer.view->revision > 0;
+}
+
+static void
+lc_balancer_flow__take_packet (
+    LcBalancerFlow *plane, uint8_t *bytes, size_t len, uint32_t ipv4, uint16_t port)
+{
+  LcPacket packet;
+
+  if (lc_packet_format_parse (lc_balancer_flow__format (plane), &packet, bytes, len) < 0 ||
+      packet.is_returned)
+    lc_balancer_flow__drop (plane, LC_DROP_MALFORMED,
+                            &(LcFlowKey){ .source_ipv4 = ipv4, .source_port = port });
+  else if (lc_balancer_flow__has_view (plane))
+    lc_balancer_flow__steer (plane, bytes, &packet);
+  else
+    lc_packet_hold_put (&plane->hold, bytes, len, lc_clock_now_us ());
+}
+
+/* What came before the first view is steered by it. */
+static void
+lc_balancer_flow__steer_held (LcBalancerFlow *plane)
+{
+  uint64_t n_held = plane->hold.held_total;
+  uint32_t n_late = 0;
+  LcHeldPacket *held;
+
+  if (plane->hold.packets == NULL || !lc_balancer_flow__has_view (plane))
+    return;
+  while ((held = lc_packet_hold_next (&plane->hold, lc_clock_now_us ())) != NULL)
+    {
+      lc_balancer_flow__take_packet (plane, held->bytes, held->len, 0, 0);
+      n_late++;
+    }
+  lc_datagram_flush (&plane->port);
+  LC_INFO ("flow.held-steered", "held", LC_U64 (n_held), "steered", LC_U64 (n_late), "too_old",
+           LC_U64 (plane->hold.dropped_total));
+}
+
+static void
+lc_balancer_flow__on_datagram (void *user, uint8_t *bytes, size_t len, uint32_t ipv4, uint16_t port)
+{
+  LcBalancerFlow *plane = user;
+
+  if (lc_envelope_kind (bytes, len) == LC_ENVELOPE_PROBE_ANSWER)
+    lc_reach_answered (&plane->reach, ipv4, port, lc_clock_now_us ());
+  else
+    lc_balancer_flow__take_packet (plane, bytes, len, ipv4, port);
 }
 
 static void
@@ -198,6 +237,8 @@
   lc_flow_meter_add (&plane->meter, metrics, "lychee_flow_reset_total",
                      "First packets that led nowhere and were answered so", NULL,
                      &plane->reset_total);
+  lc_flow_meter_add (&plane->meter, metrics, "lychee_flow_held_total",
+                     "Packets that came before the first view", NULL, &plane->hold.held_total);
   lc_flow_meter_add (&plane->meter, metrics, "lychee_flow_suspected_total",
                      "Times that an agent left a probe unanswered", NULL,
                      &plane->reach.suspected_total);
@@ -246,6 +287,7 @@
   lc_timer_finish (&plane->timer);
   lc_datagram_finish (&plane->port);
   lc_flow_balancer_finish (&plane->balancer);
+  lc_packet_hold_finish (&plane->hold);
   lc_reach_finish (&plane->reach);
 }
 
@@ -258,6 +300,7 @@
   (void)is_reset;
   plane->balancer.dc = lc_balancer_flow__dc (plane, view);
   lc_flow_balancer_set_view (&plane->balancer, view);
+  lc_balancer_flow__steer_held (plane);
 }
 
 void
--- a/src/balancer/lc-balancer-flow.h
+++ b/src/balancer/lc-balancer-flow.h
@@ -19,6 +19,7 @@
 
 #include "controller/lc-member.h"
 #include "core/flow/lc-flow-balancer.h"
+#include "core/flow/lc-packet-hold.h"
 #include "io/lc-datagram.h"
 #include "io/lc-flow-log.h"
 #include "io/lc-flow-meter.h"
@@ -39,6 +40,7 @@
   LcFlowBalancer balancer;
   LcDatagram port;
   LcReach reach;
+  LcPacketHold hold;
   LcTimer timer;
   LcFlowMeter meter;
   int64_t last_packet_us;
--- a/src/cli/lc-cli-explain.c
+++ b/src/cli/lc-cli-explain.c
@@ -85,11 +85,12 @@
 {
   LcError error = { 0 };
 
-  (void)lc_error_set (&error, LC_ERR_NOT_FOUND,
-                      "give the files of more processes or a longer time; a process leaves lines out "
-                      "when there are too many a second, and says so in left_out",
-                      "none of %u lines fits (%" G_GUINT64_FORMAT " were no log lines)",
-                      log->lines->len, (guint64)log->n_skipped);
+  (void)lc_error_set (
+      &error, LC_ERR_NOT_FOUND,
+      "give the files of more processes or a longer time; a process leaves lines out "
+      "when there are too many a second, and says so in left_out",
+      "none of %u lines fits (%" G_GUINT64_FORMAT " were no log lines)", log->lines->len,
+      (guint64)log->n_skipped);
   lc_error_print (stderr, &error);
   return LC_CLI_FAILED;
 }
@@ -114,8 +115,8 @@
 {
   if (is_json)
     {
-      (void)printf ("{\"flow\":\"%s\",\"first_us\":%" G_GINT64_FORMAT ",\"last_us\":%" G_GINT64_FORMAT
-                    ",\"lines\":%u,\"bad\":%u}\n",
+      (void)printf ("{\"flow\":\"%s\",\"first_us\":%" G_GINT64_FORMAT
+                    ",\"last_us\":%" G_GINT64_FORMAT ",\"lines\":%u,\"bad\":%u}\n",
                     flow->id, (gint64)flow->first_us, (gint64)flow->last_us, flow->n_lines,
                     flow->n_bad);
       return;
@@ -194,8 +195,9 @@
     {
       (void)printf ("Usage: lychee explain");
       arg_print_syntax (stdout, table, "\n");
-      (void)printf ("Joins the log lines of several processes about one flow, in time order; without "
-                    "--flow, lists the flows that fit.\n");
+      (void)printf (
+          "Joins the log lines of several processes about one flow, in time order; without "
+          "--flow, lists the flows that fit.\n");
       arg_print_glossary (stdout, table, "  %-28s %s\n");
       return LC_CLI_DONE;
     }
@@ -217,16 +219,19 @@
   LcCliExplain args;
   int code;
 
-  args.flow = arg_str0 (NULL, "flow", "CALLER:P>SERVICE:P", "the flow's id, as the log lines have it");
+  args.flow =
+      arg_str0 (NULL, "flow", "CALLER:P>SERVICE:P", "the flow's id, as the log lines have it");
   args.service = arg_str0 (NULL, "service", "A:P", "list flows to this address");
   args.caller = arg_str0 (NULL, "caller", "A[:P]", "list flows of this caller");
   args.since = arg_str0 (NULL, "since", "TIME", "list flows seen from then on");
   args.until = arg_str0 (NULL, "until", "TIME", "and up to then");
   args.bad = arg_lit0 (NULL, "bad", "list only flows with a line that tells of trouble");
-  args.around_ms = arg_int0 (NULL, "around-ms", "N", "what its processes said so long around it (2000)");
+  args.around_ms =
+      arg_int0 (NULL, "around-ms", "N", "what its processes said so long around it (2000)");
   args.json = arg_lit0 (NULL, "json", "print the lines as they are");
   args.help = arg_lit0 (NULL, "help", "print this text");
-  args.files = arg_filen (NULL, NULL, "FILE", 1, LC_CLI_EXPLAIN_FILES_MAX, "logs; - is standard input");
+  args.files =
+      arg_filen (NULL, NULL, "FILE", 1, LC_CLI_EXPLAIN_FILES_MAX, "logs; - is standard input");
   args.end = arg_end (LC_CLI_EXPLAIN_ERRORS_MAX);
   {
     void *table[] = { args.flow,      args.service, args.caller, args.since, args.until, args.bad,
--- a/src/cli/lc-explain.h
+++ b/src/cli/lc-explain.h
@@ -2,10 +2,10 @@
  *
  * WHAT IT IS
  *   Every program writes JSON lines (io/lc-log.h); those about a flow name it in "flow".  Given the
- *   files of several processes, this finds the lines of one flow, and around them what its processes
- *   and control believed at the time: starts, stops, views, leaders, agents that did not answer.
- *   Without an id it lists the flows of a service address in a span of time, so that an id is found
- *   from what a caller can say: when, and where to.
+ *   files of several processes, this finds the lines of one flow, and around them what its
+ * processes and control believed at the time: starts, stops, views, leaders, agents that did not
+ * answer. Without an id it lists the flows of a service address in a span of time, so that an id is
+ * found from what a caller can say: when, and where to.
  *
  * HOW TO USE IT
  *     lc_explain_init (&log);
@@ -62,7 +62,7 @@
   const char *service; /* "A:P" that the caller sent to; NULL: any */
   const char *caller;  /* "A" or "A:P"; NULL: any */
   int64_t since_us;
-  int64_t until_us;    /* 0: no end */
+  int64_t until_us; /* 0: no end */
 } LcExplainQuery;
 
 void lc_explain_init (LcExplainLog *log);
--- a/tests/flow/test-flow-core.c
+++ b/tests/flow/test-flow-core.c
@@ -4,6 +4,7 @@
 #include "core/flow/lc-envelope.h"
 #include "core/flow/lc-flow-key.h"
 #include "core/flow/lc-flow-table.h"
+#include "core/flow/lc-packet-hold.h"
 #include "core/flow/lc-retarget.h"
 #include "core/flow/lc-steer.h"
 #include "io/lc-flow-wire.h"
@@ -592,6 +593,55 @@
 }
 END_TEST
 
+/* === packets that wait for a view =========================================================== */
+
+/* Packets come one a millisecond; the first `n` of them, then the rest is asked for at `at_ms`. */
+static const struct
+{
+  uint32_t n;
+  size_t len;
+  int64_t at_ms;
+  uint32_t first; /* number of the first that is handed out */
+  uint32_t n_out;
+} HELD[] = {
+  { 0, 100, 0, 0, 0 },
+  { 1, 100, 0, 0, 1 },
+  { 3, LC_PACKET_HOLD_BYTES, 3, 0, 3 },
+  { 3, LC_PACKET_HOLD_BYTES + 1, 3, 0, 0 },
+  { LC_PACKET_HOLD_MAX, 40, 300, 0, LC_PACKET_HOLD_MAX },
+  { LC_PACKET_HOLD_MAX + 7, 40, 300, 7, LC_PACKET_HOLD_MAX },
+  { 10, 40, 1205, 5, 5 }, /* those that came within 1.2 s */
+  { 10, 40, 1209, 9, 1 },
+  { 10, 40, 1210, 0, 0 },
+};
+
+START_TEST (test_held_packets)
+{
+  uint8_t bytes[LC_PACKET_HOLD_BYTES + 1] = { 0 };
+  LcPacketHold hold = { 0 };
+  LcHeldPacket *packet;
+  uint32_t n_out = 0;
+
+  for (uint32_t i = 0; i < HELD[_i].n; i++)
+    {
+      memcpy (bytes, &i, sizeof i);
+      lc_packet_hold_put (&hold, bytes, HELD[_i].len, (int64_t)i * LC_US_PER_MS);
+    }
+  while ((packet = lc_packet_hold_next (&hold, HELD[_i].at_ms * LC_US_PER_MS)) != NULL)
+    {
+      uint32_t number;
+
+      memcpy (&number, packet->bytes, sizeof number);
+      ck_assert_uint_eq (number, HELD[_i].first + n_out);
+      ck_assert_uint_eq (packet->len, HELD[_i].len);
+      n_out++;
+    }
+  ck_assert_uint_eq (n_out, HELD[_i].n_out);
+  ck_assert_uint_eq (hold.dropped_total, HELD[_i].n - n_out);
+  ck_assert_ptr_null (hold.packets); /* given back */
+}
+END_TEST
+
 int
 main (void)
 {
@@ -609,6 +659,7 @@
   tcase_add_test (tcase, test_assign);
   tcase_add_test (tcase, test_ramp);
   tcase_add_test (tcase, test_steer);
+  tcase_add_loop_test (tcase, test_held_packets, 0, (int)G_N_ELEMENTS (HELD));
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
 }
--- a/tests/platform/test-explain.c
+++ b/tests/platform/test-explain.c
@@ -9,7 +9,7 @@
 #include <unistd.h>
 
 #define AT(second, program, name, event, more)                                                     \
-  "{\"time\":\"2026-08-05T13:00:" second "Z\",\"level\":\"info\",\"program\":\"" program                  \
+  "{\"time\":\"2026-08-05T13:00:" second "Z\",\"level\":\"info\",\"program\":\"" program           \
   "\",\"name\":\"" name "\",\"event\":\"" event "\"" more "}\n"
 #define OF(flow) ",\"flow\":\"" flow "\""
 #define ONE "10.0.0.7:40001>198.18.0.1:443"
@@ -19,16 +19,19 @@
 /* Two files, neither in order; the first line of one has a collector's prefix. */
 static const char *const FILES[] = {
   "edge-1 | " AT ("10.000100", "lychee-balancer", "lb-1", "flow.steered", OF (ONE))
-  AT ("10.900000", "lychee-balancer", "lb-1", "view.applied", "")
-  AT ("30.000000", "lychee-balancer", "lb-1", "app.stopped", "")
-  AT ("10.500000", "lychee-balancer", "lb-2", "view.applied", "")
-  AT ("10.100000", "lychee-control", "c-1", "control.leader", "")
-  AT ("10.100000", "lychee-control", "c-1", "control.peer-up", "")
-  "no log line\n{\"time\":\"never\"}\n{cut short",
+      AT ("10.900000", "lychee-balancer", "lb-1", "view.applied", "")
+          AT ("30.000000", "lychee-balancer", "lb-1", "app.stopped", "")
+              AT ("10.500000", "lychee-balancer", "lb-2", "view.applied", "")
+                  AT ("10.100000", "lychee-control", "c-1", "control.leader", "")
+                      AT ("10.100000",
+                          "lychee-control",
+                          "c-1",
+                          "control.peer-up",
+                          "") "no log line\n{\"time\":\"never\"}\n{cut short",
   AT ("11.200000", "lychee-agent", "order-1", "flow.returned", OF (ONE))
-  AT ("10.000300", "lychee-agent", "order-1", "flow.assigned", OF (ONE))
-  AT ("12.000000", "lychee-agent", "order-1", "flow.assigned", OF (TWO))
-  AT ("13.000000", "lychee-agent", "order-1", "flow.late", OF (OTHER))
+      AT ("10.000300", "lychee-agent", "order-1", "flow.assigned", OF (ONE))
+          AT ("12.000000", "lychee-agent", "order-1", "flow.assigned", OF (TWO))
+              AT ("13.000000", "lychee-agent", "order-1", "flow.late", OF (OTHER))
 };
 
 static void
@@ -57,9 +60,15 @@
   uint32_t n_of_flow;
   const char *events[8]; /* in order; NULL ends */
 } FLOWS[] = {
-  { ONE, 0, 3, { "flow.steered", "flow.assigned", "control.leader", "view.applied", "flow.returned" } },
-  { ONE, 20 * LC_US_PER_S, 3,
-    { "flow.steered", "flow.assigned", "control.leader", "view.applied", "flow.returned", "app.stopped" } },
+  { ONE,
+    0,
+    3,
+    { "flow.steered", "flow.assigned", "control.leader", "view.applied", "flow.returned" } },
+  { ONE,
+    20 * LC_US_PER_S,
+    3,
+    { "flow.steered", "flow.assigned", "control.leader", "view.applied", "flow.returned",
+      "app.stopped" } },
   { TWO, 0, 1, { "flow.assigned" } },
   { "10.0.0.7:4000>198.18.0.1:443", 0, 0, { NULL } },
 };
@@ -77,7 +86,8 @@
   for (; FLOWS[_i].events[n] != NULL; n++)
     {
       ck_assert_uint_lt (n, lines->len);
-      ck_assert_str_eq (((LcExplainLine *)g_ptr_array_index (lines, n))->event, FLOWS[_i].events[n]);
+      ck_assert_str_eq (((LcExplainLine *)g_ptr_array_index (lines, n))->event,
+                        FLOWS[_i].events[n]);
     }
   ck_assert_uint_eq (lines->len, n);
   g_ptr_array_unref (lines);
@@ -85,7 +95,7 @@
 }
 END_TEST
 
-#define SECOND(n) (INT64_C (1785934800) * LC_US_PER_S + (n) * LC_US_PER_S)
+#define SECOND(n) (INT64_C (1785934800) * LC_US_PER_S + (n)*LC_US_PER_S)
 
 static const struct
 {
