--- a/src/agent/lc-agent-flow-report.c
+++ b/src/agent/lc-agent-flow-report.c
@@ -166,6 +166,9 @@
       line.why = lc_drop_reason_name (action->reason);
       break;
     case LC_FLOW_ACTION_DROP:
+      if (packet->is_returned && packet->mark != LC_FLOW_MARK_NONE && !packet->may_open)
+        return; /* another agent asked for the owner, and it is not here: that one says what follows
+                 */
       line.why = lc_drop_reason_name (action->reason);
       break;
     }
--- a/src/cli/lc-cli-explain.c
+++ b/src/cli/lc-cli-explain.c
@@ -19,6 +19,7 @@
   struct arg_str *flow;
   struct arg_str *service;
   struct arg_str *caller;
+  struct arg_str *vm;
   struct arg_str *since;
   struct arg_str *until;
   struct arg_int *around_ms;
@@ -179,6 +180,7 @@
     }
   lc_explain_sort (log);
   query.service = args->service->count > 0 ? args->service->sval[0] : NULL;
+  query.vm = args->vm->count > 0 ? args->vm->sval[0] : NULL;
   query.caller = args->caller->count > 0 ? args->caller->sval[0] : NULL;
   return args->flow->count > 0 ? lc_cli_explain__flow (log, args)
                                : lc_cli_explain__flows (log, args, &query);
@@ -223,6 +225,7 @@
       arg_str0 (NULL, "flow", "CALLER:P>SERVICE:P", "the flow's id, as the log lines have it");
   args.service = arg_str0 (NULL, "service", "A:P", "list flows to this address");
   args.caller = arg_str0 (NULL, "caller", "A[:P]", "list flows of this caller");
+  args.vm = arg_str0 (NULL, "vm", "NAME", "list flows that this VM wrote of");
   args.since = arg_str0 (NULL, "since", "TIME", "list flows seen from then on");
   args.until = arg_str0 (NULL, "until", "TIME", "and up to then");
   args.bad = arg_lit0 (NULL, "bad", "list only flows with a line that tells of trouble");
@@ -234,8 +237,8 @@
       arg_filen (NULL, NULL, "FILE", 1, LC_CLI_EXPLAIN_FILES_MAX, "logs; - is standard input");
   args.end = arg_end (LC_CLI_EXPLAIN_ERRORS_MAX);
   {
-    void *table[] = { args.flow,      args.service, args.caller, args.since, args.until, args.bad,
-                      args.around_ms, args.json,    args.help,   args.files, args.end };
+    void *table[] = { args.flow, args.service,   args.caller, args.vm,   args.since, args.until,
+                      args.bad,  args.around_ms, args.json,   args.help, args.files, args.end };
 
     code = lc_cli_explain__run (argc, argv, &args, table);
     arg_freetable (table, G_N_ELEMENTS (table));
--- a/src/cli/lc-explain.c
+++ b/src/cli/lc-explain.c
@@ -196,6 +196,8 @@
   if (arrow == NULL || line->at_us < query->since_us ||
       (query->until_us != 0 && line->at_us > query->until_us))
     return false;
+  if (query->vm != NULL && strcmp (line->name, query->vm) != 0)
+    return false;
   if (query->service != NULL && strcmp (arrow + 1, query->service) != 0)
     return false;
   return len == 0 || (strncmp (line->flow, query->caller, len) == 0 &&
--- a/src/cli/lc-explain.h
+++ b/src/cli/lc-explain.h
@@ -61,6 +61,7 @@
 {
   const char *service; /* "A:P" that the caller sent to; NULL: any */
   const char *caller;  /* "A" or "A:P"; NULL: any */
+  const char *vm;      /* name of the process that wrote a line of it; NULL: any */
   int64_t since_us;
   int64_t until_us; /* 0: no end */
 } LcExplainQuery;
--- a/tests/platform/test-explain.c
+++ b/tests/platform/test-explain.c
@@ -109,6 +109,8 @@
   { { .service = "198.18.0.1:44" }, 0, NULL, 0 },
   { { .caller = "10.0.0.7" }, 2, ONE, 1 },
   { { .caller = "10.0.0.7:40002" }, 1, OTHER, 1 },
+  { { .vm = "lb-1" }, 1, ONE, 0 },
+  { { .vm = "order-1", .service = "198.18.0.1:443" }, 2, ONE, 1 },
   { { .since_us = SECOND (12) }, 2, TWO, 0 },
   { { .since_us = SECOND (12), .until_us = SECOND (12) }, 1, TWO, 0 },
 };
