--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Thin wrapper over meson; see README.md.
 BUILD ?= build
 
-.PHONY: all setup demo test bench lint format pages clean
+.PHONY: all setup demo test bench soak lint format pages clean
 all: $(BUILD)/build.ninja
 	ninja -C $(BUILD)
 
@@ -20,6 +20,13 @@
 bench: setup all
 	bash bench/run-bench $(BUILD)
 
+# One seed, or RUNS of them from SEED on: make soak SEED=7 RUNS=20 SECONDS=30
+SEED ?= 1
+RUNS ?= 1
+SECONDS ?= 15
+soak: setup all
+	python3 tests/soak/soak.py $(BUILD) --seed $(SEED) --runs $(RUNS) --seconds $(SECONDS)
+
 lint: $(BUILD)/build.ninja
 	bash tools/lint $(BUILD)
 
--- a/demo/backend.c
+++ b/demo/backend.c
@@ -26,6 +26,7 @@
 #include <argtable2.h>
 #include <arpa/inet.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -57,6 +58,7 @@
   LcSocketAddress feed;
   uint32_t slots;
   uint32_t service_ms;
+  char journal[256]; /* every run is a line there; empty: none */
 } LcBackendSettings;
 
 typedef struct
@@ -73,6 +75,7 @@
   uint64_t runs;
   uint64_t shed;
   uint64_t most_runs;
+  int journal_fd;          /* -1: none */
   GHashTable *runs_by_key; /* key -> count */
   GHashTable *flows;       /* token -> itself */
   uint64_t datagrams;
@@ -158,6 +161,20 @@
 
 /* === work =================================================================================== */
 
+/* One write a line, so that a kill leaves whole lines of every run that began. */
+static void
+lc_backend__note_run (LcBackend *b, const char *key)
+{
+  char *line;
+
+  if (b->journal_fd < 0)
+    return;
+  line = g_strdup_printf ("%s %s\n", key, b->settings.name);
+  if (write (b->journal_fd, line, strlen (line)) < 0)
+    (void)fprintf (stderr, "error (io): the journal of runs: %s\n", g_strerror (errno));
+  g_free (line);
+}
+
 static uint64_t
 lc_backend__count_run (LcBackend *b, const char *key)
 {
@@ -166,6 +183,7 @@
   g_hash_table_insert (b->runs_by_key, g_strdup (key), GSIZE_TO_POINTER (n));
   b->runs++;
   b->most_runs = MAX (b->most_runs, n);
+  lc_backend__note_run (b, key);
   return n;
 }
 
@@ -460,6 +478,15 @@
                       .request = lc_backend__on_request };
   LcError error = { 0 };
 
+  b->journal_fd = -1;
+  if (b->settings.journal[0] != '\0')
+    b->journal_fd = open (b->settings.journal, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  if (b->settings.journal[0] != '\0' && b->journal_fd < 0)
+    {
+      (void)fprintf (stderr, "error (io): %s: %s\nremedy: give a writable file to --journal\n",
+                     b->settings.journal, g_strerror (errno));
+      return -1;
+    }
   b->loop = h2o_evloop_create ();
   b->runs_by_key = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   b->flows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -508,8 +535,9 @@
   struct arg_str *feed = arg_str1 (NULL, "feed", "ADDR:PORT", "UDP address of the feed");
   struct arg_int *slots = arg_int0 (NULL, "slots", "N", "requests run at once (4)");
   struct arg_int *service = arg_int0 (NULL, "service-ms", "MS", "time of one request (5)");
+  struct arg_file *journal = arg_file0 (NULL, "journal", "FILE", "append a line for each run");
   struct arg_end *end = arg_end (8);
-  void *table[] = { name, http, feed, slots, service, end };
+  void *table[] = { name, http, feed, slots, service, journal, end };
   bool is_right;
 
   slots->ival[0] = 4;
@@ -522,6 +550,8 @@
       (void)g_strlcpy (s->name, name->sval[0], sizeof s->name);
       s->slots = (uint32_t)slots->ival[0];
       s->service_ms = (uint32_t)service->ival[0];
+      if (journal->count > 0)
+        (void)g_strlcpy (s->journal, journal->filename[0], sizeof s->journal);
     }
   else
     {
--- a/tests/e2e/lychee_site.py
+++ b/tests/e2e/lychee_site.py
@@ -119,10 +119,14 @@
     def common(self, name):
         return {"name": name, "data_centre": "hall-atl", "address": self.address[name]}
 
-    def start_control(self, name):
-        data = os.path.join(self.folder, "data-" + name)
+    def data_folder(self, name):
+        return os.path.join(self.folder, "data-" + name)
+
+    def start_control(self, name, **more):
+        data = self.data_folder(name)
         os.makedirs(data, exist_ok=True)
-        path = self.settings(name, self.common(name) | {"data_folder": data, "members": self.peers(self.controls)})
+        path = self.settings(name, self.common(name) | {
+            "data_folder": data, "members": self.peers(self.controls)} | more)
         self.start(name, "src/control/lychee-control", "--settings", path)
 
     def start_balancer(self, name):
@@ -132,14 +136,34 @@
     def start_server(self, name):
         address = self.address[name]
         self.start("server-" + name, "demo/lychee-demo-backend", "--name", name, "--http", f"{address}:8000",
-                   "--feed", f"{address}:8001", "--service-ms", str(self.service_ms))
+                   "--feed", f"{address}:8001", "--service-ms", str(self.service_ms),
+                   "--journal", os.path.join(self.folder, "runs"))
+
+    def backend_http(self, name):
+        """Where the agent reaches its backend server by HTTP."""
+        return f"{self.address[name]}:8000"
+
+    def balancer_http(self, name):
+        """Where callers reach a balancer by HTTP."""
+        return f"{self.address[name]}:8080"
+
+    def journal_of_runs(self):
+        """How often each key was run, by backend servers that live or are dead."""
+        runs = {}
+        path = os.path.join(self.folder, "runs")
+        if os.path.exists(path):
+            with open(path, encoding="utf-8") as lines:
+                for line in lines:
+                    key = line.split()[0]
+                    runs[key] = runs.get(key, 0) + 1
+        return runs
 
     def start_agent(self, name):
         address = self.address[name]
         path = self.settings("agent-" + name, self.common(name) | {
             "service": self.servers[name], "balancers": self.peers(self.balancers), "ramp_ms": 200,
             "delivery": "inject" if can_send_raw() else "relay",
-            "backend": {"http": f"{address}:8000", "feed": f"{address}:8001"}})
+            "backend": {"http": self.backend_http(name), "feed": f"{address}:8001"}})
         self.start("agent-" + name, "src/agent/lychee-agent", "--settings", path)
 
     def signal(self, name, number):
@@ -200,7 +224,7 @@
     # --- callers ------------------------------------------------------------------------------
 
     def order(self, key, balancer, timeout=20):
-        return ask("POST", f"{self.address[balancer]}:8080/orders", b'{"uplift_l":4200}', {"Idempotency-Key": key},
+        return ask("POST", f"{self.balancer_http(balancer)}/orders", b'{"uplift_l":4200}', {"Idempotency-Key": key},
                    timeout)
 
     def runs(self, key=""):
