--- a/src/control/lc-distributor.c
+++ b/src/control/lc-distributor.c
@@ -1,10 +1,6 @@
-#include "lc-distributor.h"
+#include "lc-distributor-private.h"
 
-#include "controller/lc-view-server.h"
-#include "core/member/lc-guard.h"
 #include "core/member/lc-relays.h"
-#include "core/member/lc-settle.h"
-#include "core/member/lc-watch.h"
 #include "io/lc-clock.h"
 #include "io/lc-member-frames.h"
 #include "io/lc-wire-member.h"
@@ -14,51 +10,17 @@
 enum
 {
   LC_DISTRIBUTOR_TICK_MS = 100,
-  LC_DISTRIBUTOR_SOON_MS = 2, /* announcements that come together are proposed together */
-  LC_DISTRIBUTOR_SETTLE_MS = 200,
+  LC_DISTRIBUTOR_SOON_MS = 2,      /* announcements that come together are proposed together */
   LC_DISTRIBUTOR_PENDING_MS = 900, /* an equal proposal waits so long: below the resend time */
   LC_DISTRIBUTOR_SEED_MS = 500,
-  LC_DISTRIBUTOR_SWEEP_MS = 1000,
   LC_DISTRIBUTOR_SUSPECTS = 64,
   LC_DISTRIBUTOR_FOLLOWER_REPORTS = 3, /* a follower steps in when the leader seems not to hear */
   LC_DISTRIBUTOR_LOGS_PER_S = 2,
   LC_DISTRIBUTOR_PROPOSAL_LOGS_PER_S = 30,
 };
 
-struct LcDistributor
-{
-  LcDistributorDesc desc;
-  LcViewServer server;
-  LcWatch watch; /* leases of balancers */
-  LcGuard guard;
-  GHashTable *pending; /* hash of (kind, name, instance) -> time of the proposal */
-  LcTimer tick;
-  int64_t started_us;
-  int64_t led_us; /* last moment as leader */
-  int64_t seeded_us;
-  int64_t settled_us;
-  int64_t swept_us;
-  GHashTable *lost_since; /* endpoint id -> when this leader first saw it lost */
-  bool was_leader;
-  LcMetric *proposed_total;
-  LcMetric *held_total;
-  LcMetric *unplaced_total;
-  LcMetric *malformed_total;
-  LcMetric *balancers_gauge;
-  LcMetric *snapshots_gauge;
-  LcMetric *refused_gauge;
-  LcMetric *sent_gauge;
-  LcLogLimit log_limit;
-  LcLogLimit guard_limit;
-  LcLogLimit proposal_limit;
-  LcLogLimit unplaced_limit;
-};
-
 /* === private: proposals ===================================================================== */
 
-/* Longer than any flow or claim is kept, and than an ordinary outage. */
-#define LC_DISTRIBUTOR_FORGET_US (600 * LC_US_PER_S)
-
 static gpointer
 lc_distributor__key (const LcMemberChange *change)
 {
@@ -88,7 +50,7 @@
 
 /* The same transition comes from two watchers, and again until the view shows it: one proposal is
  * on its way at a time. */
-static void
+void
 lc_distributor__propose (LcDistributor *d, const LcMemberChange *change, int64_t now_us)
 {
   char *key = lc_distributor__key (change);
@@ -138,7 +100,7 @@
              LC_STR ("open the service and the data centre with `lychee plan open-market`"));
 }
 
-static void
+void
 lc_distributor__take (LcDistributor *d, const LcMemberChange *change, int64_t now_us)
 {
   if (!lc_distributor__has_place (d, change))
@@ -377,156 +339,7 @@
   d->was_leader = is_leader;
 }
 
-/* === private: a data centre without watchers ================================================ */
-
-static bool
-lc_distributor__has_balancer (const LcView *view, LcDcId dc, bool *has_any)
-{
-  *has_any = false;
-  for (guint i = 0; i < view->balancers->len; i++)
-    {
-      const LcBalancer *b = &g_array_index (view->balancers, LcBalancer, i);
-
-      if (b->dc != dc)
-        continue;
-      *has_any = true;
-      if (b->state != LC_BALANCER_LOST)
-        return true;
-    }
-  return false;
-}
-
-static void
-lc_distributor__lose_endpoints (LcDistributor *d, const LcDataCentre *dc, int64_t now_us)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, d->desc.view->services);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const LcService *s = value;
-
-      for (uint32_t i = 0; i < s->n_endpoints; i++)
-        {
-          const LcEndpoint *e = &s->endpoints[i];
-          LcMemberChange change = { .kind = LC_MEMBER_ENDPOINT_LOST };
-
-          if (e->dc != dc->id || e->state == LC_ENDPOINT_LOST)
-            continue;
-          change.endpoint = *e;
-          (void)g_strlcpy (change.service, s->name, sizeof change.service);
-          (void)g_strlcpy (change.data_centre, dc->name, sizeof change.data_centre);
-          lc_distributor__take (d, &change, now_us);
-        }
-    }
-}
-
-/* === private: endpoints that stay lost ====================================================== */
-
-/* When this leader first saw the endpoint lost. */
-static int64_t
-lc_distributor__lost_since (LcDistributor *d, const LcEndpoint *e, int64_t now_us)
-{
-  int64_t *since_us = g_hash_table_lookup (d->lost_since, GUINT_TO_POINTER (e->id));
-
-  if (since_us != NULL)
-    return *since_us;
-  since_us = g_new (int64_t, 1);
-  *since_us = now_us;
-  g_hash_table_insert (d->lost_since, GUINT_TO_POINTER (e->id), since_us);
-  return now_us;
-}
-
-static gboolean
-lc_distributor__is_lost_no_more (gpointer key, gpointer value, gpointer user)
-{
-  const LcEndpoint *e = lc_view_endpoint (user, GPOINTER_TO_UINT (key));
-
-  (void)value;
-  return e == NULL || e->state != LC_ENDPOINT_LOST;
-}
-
-/* A lost endpoint may come back with its flows, so it stays in the view; but not for ever. */
-static void
-lc_distributor__forget_lost (LcDistributor *d, const LcService *s, int64_t now_us)
-{
-  for (uint32_t i = 0; i < s->n_endpoints; i++)
-    {
-      const LcEndpoint *e = &s->endpoints[i];
-      LcMemberChange change = { .kind = LC_MEMBER_ENDPOINT_GONE };
-
-      if (e->state != LC_ENDPOINT_LOST ||
-          now_us - lc_distributor__lost_since (d, e, now_us) < LC_DISTRIBUTOR_FORGET_US)
-        continue;
-      change.endpoint = *e;
-      (void)g_strlcpy (change.service, s->name, sizeof change.service);
-      lc_distributor__propose (d, &change, now_us);
-    }
-}
-
-static void
-lc_distributor__sweep_lost (LcDistributor *d, int64_t now_us)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  (void)g_hash_table_foreach_remove (d->lost_since, lc_distributor__is_lost_no_more,
-                                     (gpointer)d->desc.view);
-  g_hash_table_iter_init (&iter, d->desc.view->services);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    lc_distributor__forget_lost (d, value, now_us);
-}
-
-/* Where every balancer is lost, nobody is left to report the endpoints.  The guard has held the
- * loss of the balancers already, and holds that of the endpoints in its turn. */
-static void
-lc_distributor__sweep (LcDistributor *d, int64_t now_us)
-{
-  const LcView *view = d->desc.view;
-
-  if (now_us - d->swept_us < LC_DISTRIBUTOR_SWEEP_MS * LC_US_PER_MS)
-    return;
-  d->swept_us = now_us;
-  lc_distributor__sweep_lost (d, now_us);
-  for (guint i = 0; i < view->dcs->len; i++)
-    {
-      const LcDataCentre *dc = &g_array_index (view->dcs, LcDataCentre, i);
-      bool has_any;
-
-      if (!lc_distributor__has_balancer (view, dc->id, &has_any) && has_any)
-        lc_distributor__lose_endpoints (d, dc, now_us);
-    }
-}
-
-/* === private: settling ====================================================================== */
-
-static void
-lc_distributor__settle (LcDistributor *d, int64_t now_us)
-{
-  LcMemberChange change = { .kind = LC_MEMBER_SETTLED };
-  GHashTableIter iter;
-  gpointer value;
-  LcSettle settle;
-
-  if (now_us - d->settled_us < LC_DISTRIBUTOR_SETTLE_MS * LC_US_PER_MS ||
-      g_hash_table_size (d->desc.view->unsettled) == 0)
-    return;
-  d->settled_us = now_us;
-  lc_settle_begin (&settle);
-  g_hash_table_iter_init (&iter, d->watch.leases.by_name);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const LcLease *lease = value;
-
-      if (!lease->is_seeded)
-        lc_settle_add (&settle, d->desc.view, lease->member.balancer.name, &lease->fold);
-    }
-  change.settled_revision =
-      lc_settle_end (&settle, d->desc.view, lc_guard_n_excused (&d->guard, now_us));
-  if (change.settled_revision > 0)
-    lc_distributor__propose (d, &change, now_us);
-}
+/* === private: time ========================================================================== */
 
 static void
 lc_distributor__on_tick (void *user)
--- a/src/control/lc-replica-private.h
+++ b/src/control/lc-replica-private.h
@@ -1,7 +1,8 @@
 /* lc-replica-private: what the parts of lc-replica share.
  *
- *   lc-replica.c       lifetime, pumping the log, disk reports, frames, proposals
- *   lc-replica-form.c  peers, forming the cluster, replacing a member
+ *   lc-replica.c          lifetime, pumping the log, disk reports, frames, proposals
+ *   lc-replica-peers.c    links to other control VMs, greetings
+ *   lc-replica-form.c     forming the cluster, healing, replacing a member
  *   lc-replica-standby.c  learning of a cluster that it does not belong to, starting over
  *   lc-replica-metrics.c
  */
@@ -52,6 +53,9 @@
 /* A log message reached a VM that belongs to no cluster yet: whether it may join. */
 bool lc_replica__may_join (LcReplica *replica, const LcRaftMessage *message, uint64_t cluster);
 void lc_replica__form_step (LcReplica *replica);
+bool lc_replica__is_self (const LcReplica *replica, const LcSocketAddress *address);
+void lc_replica__greet_all (LcReplica *replica);
+void lc_replica__greet_unsure (LcReplica *replica, LcReplicaPeer *peer);
 void lc_replica__greet_strangers (LcReplica *replica);
 void lc_replica__replace_step (LcReplica *replica);
 /* The next step towards the wanted number of voters; on the leader. */
