--- a/src/core/flow/lc-flow-return.h
+++ b/src/core/flow/lc-flow-return.h
@@ -56,8 +56,8 @@
                                         LcEnvelope *envelope,
                                         const LcPacket *packet,
                                         int64_t now_us);
-  /* The backend server sent this packet to a caller; the answer's key is the packet's, from the
-   * service to the caller. */
+  /* The backend server sent this packet to a caller (its key goes from the service to the caller):
+   * the flow is its own from now on.  Returns what the packet answers. */
   LcFlowAnswer lc_flow_return_answered (LcFlowAgent *agent, const LcPacket *packet, int64_t now_us);
   /* The key of the flow that a packet of the backend server belongs to: the caller's own. */
   LcFlowKey lc_flow_return_key (const LcPacket *packet);
--- a/src/io/lc-flow-log.c
+++ b/src/io/lc-flow-log.c
@@ -39,7 +39,7 @@
   (void)lc_flow_log__put_address (at, end, key->target_ipv4, key->target_port);
 }
 
-/* lc_log_event ends at a NULL key, so an absent field is one that is put last and not read. */
+/* Only fields that say something are written: a line stays short, and so does its cost. */
 void
 lc_flow_log (LcFlowLog *log, const LcFlowLogLine *line, int64_t now_us)
 {
