--- a/src/controller/lc-member-serve.c
+++ b/src/controller/lc-member-serve.c
@@ -322,7 +322,9 @@
   GHashTableIter iter;
   gpointer value;
 
-  if (dc == NULL || now_us - member->seeded_us < LC_MEMBER_SERVE_SEED_MS * LC_US_PER_MS)
+  /* One that leaves is nobody's choice: a lease that it took would end, since nobody renews it. */
+  if (dc == NULL || member->phase == LC_MEMBER_PHASE_LEAVING ||
+      now_us - member->seeded_us < LC_MEMBER_SERVE_SEED_MS * LC_US_PER_MS)
     return;
   member->seeded_us = now_us;
   lc_flap_expire (&member->watch.flap, now_us);
--- a/tests/member/test-member-links.c
+++ b/tests/member/test-member-links.c
@@ -412,6 +412,44 @@
 }
 END_TEST
 
+static uint32_t
+n_seeded (const FakeNode *balancer)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t n = 0;
+
+  g_hash_table_iter_init (&iter, balancer->member.watch.leases.by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    n += ((const LcLease *)value)->is_seeded ? 1 : 0;
+  return n;
+}
+
+/* A balancer that takes long to leave is nobody's choice any more: it takes no leases from the
+ * view, which would end since nobody renews them there, and reports no living endpoint as lost. */
+START_TEST (test_leaving_balancer_watches_nobody)
+{
+  World *w = &world;
+
+  converge ();
+  for (uint32_t i = 0; i < N_BALANCERS; i++)
+    lc_member_leave (&w->balancers[i].member);
+  fake_run_for (w->loop, 500);
+  for (uint32_t i = 0; i < N_BALANCERS; i++)
+    {
+      /* As after a restart: no lease yet, and the sweep is due. */
+      g_hash_table_remove_all (w->balancers[i].member.watch.leases.by_name);
+      w->balancers[i].member.seeded_us = 0;
+    }
+  for (int k = 0; k < 5; k++)
+    {
+      for (uint32_t i = 0; i < N_BALANCERS; i++)
+        ck_assert_uint_eq (n_seeded (&w->balancers[i]), 0);
+      fake_run_for (w->loop, 100);
+    }
+}
+END_TEST
+
 /* A balancer that dies, or freezes with its links up: its agents are never lost, and follow. */
 static void
 check_balancer_lost (bool is_killed)
@@ -684,6 +722,7 @@
   tcase_add_test (tc, test_join_settle_and_status);
   tcase_add_test (tc, test_killed_agent_is_lost_once_and_returns);
   tcase_add_test (tc, test_planned_stop);
+  tcase_add_test (tc, test_leaving_balancer_watches_nobody);
   tcase_add_test (tc, test_balancer_killed);
   tcase_add_test (tc, test_balancer_frozen);
   tcase_add_test (tc, test_follower_cut);
