Control: only later members than those that took it in prove that a replica was removed

Ruled out: a second change of members while one is under way (each waits for the commit of the one before). Tests: test-heal test_removed and one row, test-raft; all fail on the code before.

--- a/src/control/lc-replica-standby.c
+++ b/src/control/lc-replica-standby.c
@@ -1,5 +1,7 @@
 #include "lc-replica-private.h"
 
+#include "core/control/lc-heal.h"
+
 #include <string.h>
 
 /* An answer older than this says little of who can be reached: five greetings. */
@@ -35,19 +37,24 @@
       return replica->learned.members_index;
     }
   *members = raft->config;
-  return raft->config_index <= raft->commit_index ? raft->config_index + 1 : 0;
+  return raft->config_index <= raft->commit_index ? lc_raft_config_as_of (raft) + 1 : 0;
 }
 
-/* Only a later set of members than the one that named this replica proves that it was removed: a
- * member that is behind may not know yet that it was added. */
 static bool
 lc_replica__is_left_out (const LcReplica *replica,
                          const LcReplicaPeer *peer,
                          const LcReplicaLearned *learned)
 {
+  const LcRaft *raft = &replica->raft;
+  int64_t heard_us = lc_raft_silence_us (raft);
+  LcHealSelf self = { .id = replica->id,
+                      .members = &raft->config,
+                      .members_index = lc_raft_config_as_of (raft),
+                      .silent_us =
+                          heard_us >= 0 ? heard_us : lc_replica__now_us () - replica->formed_us };
+
   return replica->is_formed && peer->cluster == replica->cluster && learned->members_index > 0 &&
-         learned->members_index > replica->raft.config_index + 1 &&
-         lc_raft_config_find (&learned->members, replica->id) == NULL;
+         lc_heal_is_removed (&self, &learned->members, learned->members_index - 1);
 }
 
 void
--- a/src/control/lc-replica.c
+++ b/src/control/lc-replica.c
@@ -320,6 +320,7 @@
   lc_store_found_finish (&replica->found);
   lc_store_task_init (&replica->task, &task);
   replica->is_formed = true;
+  replica->formed_us = lc_replica__now_us ();
   lc_replica__link_members (replica);
   lc_replica__pump (replica);
 }
--- a/src/control/lc-replica.h
+++ b/src/control/lc-replica.h
@@ -113,6 +113,7 @@
   LcReplicaId id;
   uint64_t cluster;
   bool is_formed;
+  int64_t formed_us; /* when it began to take part in the log */
   LcRaft raft;
   LcControlState state;
   GArray *ops; /* LcViewOp applied since `applied` was last called */
--- a/src/core/control/lc-heal.c
+++ b/src/core/control/lc-heal.c
@@ -8,6 +8,8 @@
 #define LC_HEAL_GONE_US (2 * LC_US_PER_S)
 /* A learner that is silent for so long is given up: another may stand by. */
 #define LC_HEAL_LEARNER_US (10 * LC_US_PER_S)
+/* Twice that time: a leader that took it in would have sent it the log, or given it up. */
+#define LC_HEAL_FORGOTTEN_US (2 * LC_HEAL_LEARNER_US)
 
 /* === private: who is there ================================================================== */
 
@@ -76,11 +78,11 @@
 {
   const LcHealSeen *s = lc_heal__find (seen, n_seen, learner->id);
 
-  if (s != NULL && s->has_caught_up && s->silent_us <= LC_HEAL_HERE_US)
-    return lc_heal__change (change, LC_RAFT_PROMOTE, learner);
   if (lc_heal__silent_us (seen, n_seen, learner->id) > LC_HEAL_LEARNER_US ||
       lc_heal__successor (learner, seen, n_seen) != NULL)
     return lc_heal__change (change, LC_RAFT_REMOVE, learner);
+  if (s != NULL && s->has_caught_up && s->silent_us <= LC_HEAL_HERE_US)
+    return lc_heal__change (change, LC_RAFT_PROMOTE, learner);
   return false;
 }
 
@@ -143,6 +145,16 @@
 
 /* === public ================================================================================= */
 
+bool
+lc_heal_is_removed (const LcHealSelf *self, const LcRaftConfig *members, uint64_t index)
+{
+  if (members->n_members == 0 || lc_raft_config_find (members, self->id) != NULL)
+    return false;
+  if (lc_raft_config_find (self->members, self->id) == NULL)
+    return self->silent_us >= LC_HEAL_FORGOTTEN_US;
+  return index > self->members_index;
+}
+
 bool
 lc_heal_next (const LcHealDesc *desc,
               const LcRaftConfig *config,
--- a/src/core/control/lc-heal.h
+++ b/src/core/control/lc-heal.h
@@ -60,6 +60,20 @@
     LcRaftMember member;
   } LcHealChange;
 
+  /* A member's own knowledge of its membership. */
+  typedef struct
+  {
+    LcReplicaId id;
+    const LcRaftConfig *members; /* newest in its log, committed or not */
+    uint64_t members_index;      /* lc_raft_config_as_of */
+    int64_t silent_us;           /* since it heard a leader, or since it joined if it never did */
+  } LcHealSelf;
+
+  /* Whether committed members, as of `index`, prove that the cluster goes on without this replica,
+   * which may then empty its folder.  News of its removal must be later than what took it in: a
+   * member that lags, or whose log begins after a snapshot, names older members.  One that never
+   * got the log has nothing to compare; it is given up by its own silence (20 s) alone. */
+  bool lc_heal_is_removed (const LcHealSelf *self, const LcRaftConfig *members, uint64_t index);
   /* False: nothing is to be changed now. */
   bool lc_heal_next (const LcHealDesc *desc,
                      const LcRaftConfig *config,
--- a/src/core/control/lc-raft-leader.c
+++ b/src/core/control/lc-raft-leader.c
@@ -495,5 +495,6 @@
   const LcRaftProgress *p = lc_raft_progress (raft, id);
 
   return p != NULL && p->sending.index == 0 && p->match_index > 0 &&
+         p->match_index >= raft->config_index &&
          p->match_index + LC_RAFT_CATCH_UP_ENTRIES >= raft->commit_index;
 }
--- a/src/core/control/lc-raft-log.c
+++ b/src/core/control/lc-raft-log.c
@@ -69,6 +69,12 @@
     lc_raft__refresh_progress (raft);
 }
 
+uint64_t
+lc_raft_config_as_of (const LcRaft *raft)
+{
+  return MAX (raft->config_index, raft->base_index);
+}
+
 /* === change ================================================================================= */
 
 void
--- a/src/core/control/lc-raft.h
+++ b/src/core/control/lc-raft.h
@@ -208,7 +208,11 @@
   /* Microseconds since a leader was last heard (0 on the leader), -1: never. */
   int64_t lc_raft_silence_us (const LcRaft *raft);
   const LcRaftProgress *lc_raft_progress (const LcRaft *raft, LcReplicaId id);
-  /* Whether a learner is close enough to the leader's log to become a voter. */
+  /* The log up to here was read for `config`: the newest configuration up to this index, which is
+   * that of its own entry, or the start of the log where a snapshot named it. */
+  uint64_t lc_raft_config_as_of (const LcRaft *raft);
+  /* Whether a learner is close enough to the leader's log to become a voter, and holds the entry
+   * that named it: a majority never counts one that does not know that it belongs to it. */
   bool lc_raft_has_caught_up (const LcRaft *raft, LcReplicaId id);
 
 #ifdef __cplusplus
--- a/tests/control/test-heal.c
+++ b/tests/control/test-heal.c
@@ -88,6 +88,11 @@
     { { 2, 2, HERE }, { 9, 3, 3000, false, true } },
     0,
     0 },
+  { "a learner that has caught up, and a blank replica speaks from its address",
+    { { 1, 1 }, { 2, 2 }, { 3, 3 }, { 9, 3, true } },
+    { { 2, 2, HERE }, { 9, 3, 100, false, true }, { 10, 3, HERE, true } },
+    LC_RAFT_REMOVE,
+    9 },
   { "a learner that is gone for long",
     { { 1, 1 }, { 2, 2 }, { 3, 3 }, { 9, 3, true } },
     { { 2, 2, HERE }, { 9, 3, 11000 } },
@@ -190,6 +195,83 @@
 }
 END_TEST
 
+/* What a replica knows of its own membership, and committed members that it is told of. */
+typedef struct
+{
+  const char *what;
+  Member own[3];
+  uint64_t own_index;
+  int64_t silent_ms;
+  Member told[3];
+  uint64_t told_index;
+  bool is_removed;
+} RemovedCase;
+
+static const RemovedCase REMOVED_CASES[] = {
+  { "named by its own log, left out by a later change",
+    { { 1, 1 }, { 2, 2 } },
+    40,
+    0,
+    { { 2, 2 } },
+    41,
+    true },
+  { "left out by what its own log is later than",
+    { { 1, 1 }, { 2, 2 } },
+    40,
+    0,
+    { { 2, 2 } },
+    39,
+    false },
+  { "left out by what its own log is as new as",
+    { { 1, 1 }, { 2, 2 } },
+    40,
+    0,
+    { { 2, 2 } },
+    40,
+    false },
+  { "named by later members", { { 1, 1 }, { 2, 2 } }, 40, 0, { { 1, 1 }, { 3, 3 } }, 60, false },
+  { "joined just now, has no log yet, and a member that lags names the members before",
+    { { 0 } },
+    0,
+    200,
+    { { 2, 2 } },
+    39,
+    false },
+  { "joined, and no leader ever sent it the log", { { 0 } }, 0, 21000, { { 2, 2 } }, 39, true },
+  { "its log does not reach the entry that named it",
+    { { 2, 2 }, { 3, 3 } },
+    30,
+    200,
+    { { 2, 2 } },
+    39,
+    false },
+  { "told of no members", { { 1, 1 }, { 2, 2 } }, 40, 0, { { 0 } }, 60, false },
+};
+
+static void
+put_members (LcRaftConfig *config, const Member *members, int n)
+{
+  for (int i = 0; i < n && members[i].id != 0; i++)
+    {
+      LcRaftMember m = { .id = members[i].id, .ipv4 = members[i].at, .peer_port = 7000 };
+
+      ck_assert_int_eq (lc_raft_config_put (config, &m), 0);
+    }
+}
+
+START_TEST (test_removed)
+{
+  const RemovedCase *c = &REMOVED_CASES[_i];
+  LcRaftConfig own = { 0 };
+  LcRaftConfig told = { 0 };
+  LcHealSelf self = { SELF, &own, c->own_index, c->silent_ms * LC_US_PER_MS };
+
+  put_members (&own, c->own, 3);
+  put_members (&told, c->told, 3);
+  ck_assert_msg (lc_heal_is_removed (&self, &told, c->told_index) == c->is_removed, "%s", c->what);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -197,6 +279,8 @@
   TCase *tcase = tcase_create ("heal");
 
   tcase_add_loop_test (tcase, test_next, 0, (int)(sizeof CASES / sizeof CASES[0]));
+  tcase_add_loop_test (tcase, test_removed, 0,
+                       (int)(sizeof REMOVED_CASES / sizeof REMOVED_CASES[0]));
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
 }
--- a/tests/control/test-raft.c
+++ b/tests/control/test-raft.c
@@ -283,6 +283,28 @@
 }
 END_TEST
 
+/* A majority must not depend on a replica that does not yet hold the entry that names it. */
+START_TEST (test_learner_without_the_entry_that_named_it_is_not_promoted)
+{
+  LcRaftMember learner = { .id = 4, .name = "control-4" };
+  Replica r;
+
+  start (&r, 0, NULL, 0);
+  become_leader (&r);
+  answer (&r, PEER, 1);
+  (void)lc_raft_propose_change (&r.raft, LC_RAFT_ADD_LEARNER, &learner, r.now_us, NULL);
+  store (&r);
+  answer (&r, PEER, 2);
+  answer (&r, 4, 1);
+  ck_assert (!lc_raft_has_caught_up (&r.raft, 4));
+  ck_assert_int_eq (lc_raft_propose_change (&r.raft, LC_RAFT_PROMOTE, &learner, r.now_us, NULL),
+                    LC_ERR_UNAVAILABLE);
+  answer (&r, 4, 2);
+  ck_assert (lc_raft_has_caught_up (&r.raft, 4));
+  lc_raft_finish (&r.raft);
+}
+END_TEST
+
 /* === leases ================================================================================= */
 
 START_TEST (test_lease_ends)
@@ -431,6 +453,8 @@
   lc_raft_compact (&raft, &snapshot);
   ck_assert_msg (raft.base_index == TRAILING[_i].base_index, "%s: %u", TRAILING[_i].what,
                  (unsigned)raft.base_index);
+  /* Members that the log names no more are still known as of its start. */
+  ck_assert_uint_eq (lc_raft_config_as_of (&raft), raft.base_index);
   lc_raft_snapshot_finish (&snapshot);
   lc_raft_finish (&raft);
   for (int i = 0; i < N_ENTRIES; i++)
@@ -586,6 +610,7 @@
   tcase_add_test (tcase, test_older_term_is_not_committed_by_counting);
   tcase_add_test (tcase, test_learner_does_not_count);
   tcase_add_test (tcase, test_learner_is_promoted_once_caught_up);
+  tcase_add_test (tcase, test_learner_without_the_entry_that_named_it_is_not_promoted);
   tcase_add_test (tcase, test_lease_ends);
   tcase_add_test (tcase, test_lease_is_given_up_when_the_clock_goes_back);
   tcase_add_test (tcase, test_lease_is_given_up_at_hand_over);
