Members: whoever waits for a first view hears of it at once, and leaves an upstream that has none

Cause: after a kill of all, balancers that had chosen a control VM without a view (it stands by, or is behind) learned of the others' only by the answer to their next renewal, a second later, and left it one more second later; and the leader had collected the balancers that the view lacks while it still followed, proposed none of them, and collected them again only a second later.

Now the view server tells each link that was greeted without a view of the first one; a member without a view leaves an upstream without one for any that has one; a new leader collects again. Tests: member-links test_first_view_*, member test_reports_again.

--- a/src/control/lc-distributor.c
+++ b/src/control/lc-distributor.c
@@ -148,9 +148,16 @@
   status.needs_hello = needs_hello;
   status.is_confirmed = age_us >= 0;
   status.control_age_ms = age_us >= 0 ? (uint64_t)(age_us / LC_US_PER_MS) : UINT32_MAX;
+  lc_view_server_greeted (&d->server, link);
   (void)lc_link_send (link, LC_FRAME_MEMBER_STATUS, &status.base);
 }
 
+static void
+lc_distributor__on_first_view (void *user, LcLink *link)
+{
+  lc_distributor__send_status (user, link, false, lc_clock_now_us ());
+}
+
 static void
 lc_distributor__malformed (LcDistributor *d, const char *what, const LcError *error)
 {
@@ -320,7 +327,8 @@
 }
 
 /* A new leader has heard balancers while it followed, but may have been cut off itself: leases
- * start anew with its term. */
+ * start anew with its term.  What the view lacked was collected, but proposed by nobody, while
+ * there was no leader: it is collected again, at once. */
 static void
 lc_distributor__note_role (LcDistributor *d, bool is_leader, int64_t now_us)
 {
@@ -335,6 +343,7 @@
       g_hash_table_iter_init (&iter, d->watch.leases.by_name);
       while (g_hash_table_iter_next (&iter, NULL, &value))
         lc_lease_renew (&d->watch.leases, value, now_us);
+      lc_watch_report_again (&d->watch);
     }
   d->was_leader = is_leader;
 }
@@ -390,7 +399,9 @@
 lc_distributor_new (const LcDistributorDesc *desc, LcError *error)
 {
   LcWatchDesc watch = { .lease_ms = desc->lease_ms, .suspect_ms = UINT32_MAX };
-  LcViewServerDesc server = { .loop = desc->app->loop, .view = desc->view };
+  LcViewServerDesc server = { .loop = desc->app->loop,
+                              .view = desc->view,
+                              .first_view = lc_distributor__on_first_view };
   LcGuardDesc guard = { 0 };
   LcDistributor *d;
 
@@ -403,6 +414,7 @@
   d = g_new0 (LcDistributor, 1);
   d->desc = *desc;
   d->started_us = lc_clock_now_us ();
+  server.user = d;
   lc_view_server_init (&d->server, &server);
   lc_watch_init (&d->watch, &watch);
   lc_guard_init (&d->guard, &guard);
--- a/src/controller/lc-member-choose.c
+++ b/src/controller/lc-member-choose.c
@@ -350,7 +350,9 @@
   return true;
 }
 
-/* Whether the primary has been behind another upstream for too long. */
+/* Whether the primary has been behind another upstream for too long.  One without any view is left
+ * at once by a member that has none either: nothing is lost, and each second without a view is one
+ * without service. */
 static bool
 lc_member__is_behind (LcMember *member,
                       const LcMemberSlot *primary,
@@ -362,6 +364,8 @@
       member->behind_us = 0;
       return false;
     }
+  if (member->sync.view.revision == 0 && primary->revision == 0)
+    return true;
   if (member->behind_us == 0)
     member->behind_us = now_us;
   return now_us - member->behind_us >= LC_MEMBER_BEHIND_MS * LC_US_PER_MS;
--- a/src/controller/lc-member-serve.c
+++ b/src/controller/lc-member-serve.c
@@ -21,11 +21,15 @@
 /* === public: lifetime ======================================================================= */
 
 static void lc_member_serve__on_answer (void *user, LcLink *link, const LcFrame *frame);
+static void lc_member_serve__on_first_view (void *user, LcLink *link);
 
 void
 lc_member_serve_init (LcMember *member)
 {
-  LcViewServerDesc server = { .loop = member->desc.app->loop, .view = &member->sync.view };
+  LcViewServerDesc server = { .loop = member->desc.app->loop,
+                              .view = &member->sync.view,
+                              .user = member,
+                              .first_view = lc_member_serve__on_first_view };
   LcWatchDesc watch = { .lease_ms = member->desc.lease_ms };
   LcPeerPoolDesc pool = { .loop = member->desc.app->loop,
                           .source_ipv4 = member->desc.balancer.ipv4,
@@ -63,9 +67,16 @@
   status.is_confirmed = member->is_confirmed;
   lc_wire_member_control_write (&status, control, known,
                                 lc_member_control (member, known, LC_CONTROL_VMS_MAX));
+  lc_view_server_greeted (&member->server, link);
   (void)lc_link_send (link, LC_FRAME_MEMBER_STATUS, &status.base);
 }
 
+static void
+lc_member_serve__on_first_view (void *user, LcLink *link)
+{
+  lc_member_serve__send_status (user, link, false, lc_clock_now_us ());
+}
+
 static void
 lc_member_serve__on_subscribe (LcMember *member,
                                LcLink *link,
--- a/src/controller/lc-member-upstream.c
+++ b/src/controller/lc-member-upstream.c
@@ -351,7 +351,7 @@
 
   if (status == NULL)
     return;
-  if (!slot->is_known)
+  if (!slot->is_known || (status->revision > 0 && member->sync.view.revision == 0))
     lc_member__tick_soon (member);
   slot->is_known = true;
   slot->revision = status->revision;
--- a/src/controller/lc-view-server.c
+++ b/src/controller/lc-view-server.c
@@ -330,6 +330,7 @@
   lc_op_log_init (&server->log, desc->max_ops);
   lc_op_log_reset (&server->log, desc->view->revision);
   server->subscribers = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  server->unserved = g_hash_table_new (NULL, NULL);
   lc_timer_init (&server->flush, desc->loop, lc_view_server__on_flush, server);
 }
 
@@ -346,6 +347,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     lc_view_server__end_snapshot (server, value);
   g_hash_table_destroy (server->subscribers);
+  g_hash_table_destroy (server->unserved);
   server->subscribers = NULL;
   lc_view_server__drop_idle_cache (server);
   lc_view_server__drop_shared (server);
@@ -370,12 +372,36 @@
   lc_view_server__arm (server);
 }
 
+void
+lc_view_server_greeted (LcViewServer *server, LcLink *link)
+{
+  if (server->desc.view->revision == 0)
+    (void)g_hash_table_add (server->unserved, link);
+}
+
+static void
+lc_view_server__tell_unserved (LcViewServer *server)
+{
+  gpointer *links;
+  guint n;
+
+  if (server->desc.view->revision == 0 || g_hash_table_size (server->unserved) == 0)
+    return;
+  links = g_hash_table_get_keys_as_array (server->unserved, &n);
+  g_hash_table_remove_all (server->unserved);
+  for (guint i = 0; i < n; i++)
+    if (server->desc.first_view != NULL)
+      server->desc.first_view (server->desc.user, links[i]);
+  g_free (links);
+}
+
 void
 lc_view_server_publish (LcViewServer *server, const LcViewOp *ops, size_t n_ops)
 {
   for (size_t i = 0; i < n_ops; i++)
     (void)lc_op_log_append (&server->log, &ops[i]);
   lc_view_server__arm (server);
+  lc_view_server__tell_unserved (server);
 }
 
 void
@@ -392,6 +418,7 @@
     lc_snapshot_cache__release (server->cache);
   server->cache = NULL;
   lc_view_server__arm (server);
+  lc_view_server__tell_unserved (server);
 }
 
 void
@@ -399,6 +426,7 @@
 {
   LcSubscriber *sub = g_hash_table_lookup (server->subscribers, link);
 
+  (void)g_hash_table_remove (server->unserved, link);
   if (sub == NULL)
     return;
   lc_view_server__end_snapshot (server, sub);
--- a/src/controller/lc-view-server.h
+++ b/src/controller/lc-view-server.h
@@ -11,8 +11,8 @@
  *     lc_view_server_subscribe (&server, link, from_revision, &scope, now_us);
  *     lc_view_server_publish (&server, ops, n_ops);    after they were applied to the view
  *     lc_view_server_reset (&server);                  after the view was replaced
- *     lc_view_server_link_down (&server, link);
- *     lc_view_server_finish (&server);
+ *     lc_view_server_greeted (&server, link);          before there is a view: desc.first_view
+ * later lc_view_server_link_down (&server, link); lc_view_server_finish (&server);
  *
  * LIMITS
  *   At most max_snapshots shared snapshots are on their way at once; a further subscriber is told
@@ -35,6 +35,10 @@
   const LcView *view;
   uint32_t max_snapshots; /* 0: 16 */
   size_t max_ops;         /* of the history; 0: see lc-op-log */
+  void *user;
+  /* There is a view now, and this link was greeted before: a member that waits for a view, here or
+   * elsewhere, hears of it at once, not with its next renewal a second later.  May be NULL. */
+  void (*first_view) (void *user, LcLink *link);
 } LcViewServerDesc;
 
 typedef struct LcSnapshotCache LcSnapshotCache;
@@ -44,6 +48,7 @@
   LcViewServerDesc desc;
   LcOpLog log;
   GHashTable *subscribers; /* LcLink -> private record */
+  GHashTable *unserved;    /* set of LcLink: greeted while there was no view */
   LcSnapshotCache *cache;  /* newest encoded snapshot, or NULL */
   LcTimer flush;
   bool is_flush_armed;
@@ -66,6 +71,8 @@
                                const LcScope *scope);
 void lc_view_server_publish (LcViewServer *server, const LcViewOp *ops, size_t n_ops);
 void lc_view_server_reset (LcViewServer *server);
+/* A member on this link was told which revision is served here. */
+void lc_view_server_greeted (LcViewServer *server, LcLink *link);
 void lc_view_server_link_down (LcViewServer *server, LcLink *link);
 
 #endif /* LC_VIEW_SERVER_H */
--- a/src/core/member/lc-watch.c
+++ b/src/core/member/lc-watch.c
@@ -337,6 +337,18 @@
   g_ptr_array_set_size (watch->finished, 0);
 }
 
+void
+lc_watch_report_again (LcWatch *watch)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  watch->is_dirty = true;
+  g_hash_table_iter_init (&iter, watch->leases.by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((LcLease *)value)->reported = 0;
+}
+
 /* A node doesn't know that it is behind; the one above it does. */
 static void
 lc_watch__fold_one (const LcLease *lease, LcRevision newest, LcFold *fold)
--- a/src/core/member/lc-watch.h
+++ b/src/core/member/lc-watch.h
@@ -76,6 +76,8 @@
   bool lc_watch_holds (const LcWatch *watch, const char *name, LcInstance instance);
   void lc_watch_collect (
       LcWatch *watch, const LcView *view, int64_t now_us, LcWatchReport report, void *user);
+  /* What was reported went nowhere: each transition that the view lacks is due at once. */
+  void lc_watch_report_again (LcWatch *watch);
   /* Folds the acknowledgements of every live lease; `newest` is this node's revision. */
   void lc_watch_fold (const LcWatch *watch, LcRevision newest, LcFold *fold);
 
--- a/tests/member/test-member-links.c
+++ b/tests/member/test-member-links.c
@@ -16,6 +16,8 @@
   N_CONTROL = 2,
   N_BALANCERS = 3,
   N_AGENTS = 4,
+  N_FIRST_BALANCERS = 12,
+  N_FIRST_AGENTS = 12,
   N_LOST_AGENTS = 32, /* ranks depend on ports: one in three is lost without the rule */
   PATIENCE_MS = 6000, /* bounds a hang; nothing asserts on speed */
 };
@@ -710,6 +712,123 @@
 }
 END_TEST
 
+/* Whoever was greeted while there was no view hears of the first one, once. */
+static void
+count_first_view (void *user, LcLink *link)
+{
+  uint32_t *n_told = user;
+
+  ck_assert (link == (LcLink *)n_told);
+  (*n_told)++;
+}
+
+START_TEST (test_first_view_is_told_once)
+{
+  uint32_t n_told = 0;
+  LcLink *link = (LcLink *)&n_told; /* only its identity counts */
+  LcView view;
+  LcViewServerDesc desc = {
+    .loop = h2o_evloop_create (), .view = &view, .user = &n_told, .first_view = count_first_view
+  };
+  LcViewServer server;
+
+  lc_view_init (&view);
+  lc_view_server_init (&server, &desc);
+  lc_view_server_greeted (&server, link);
+  lc_view_server_reset (&server); /* still none */
+  ck_assert_uint_eq (n_told, 0);
+  view.revision = 4;
+  lc_view_server_reset (&server);
+  ck_assert_uint_eq (n_told, 1);
+  lc_view_server_greeted (&server, link);
+  view.revision = 5;
+  lc_view_server_reset (&server);
+  ck_assert_uint_eq (n_told, 1);
+  lc_view_server_finish (&server);
+  lc_view_finish (&view);
+}
+END_TEST
+
+/* Everybody starts at once, control has no view yet, and one control VM never gets one.  Renewals
+ * are a minute apart here, and members whose first choice is the blank VM get a view all the same.
+ */
+typedef struct
+{
+  FakeControl control[2]; /* the first stays blank */
+  FakeNode balancers[N_FIRST_BALANCERS];
+  FakeNode agents[N_FIRST_AGENTS];
+} First;
+
+static bool
+first_are_linked (void *user)
+{
+  First *f = user;
+
+  for (uint32_t i = 0; i < N_FIRST_BALANCERS; i++)
+    for (uint32_t k = 0; k < 2; k++)
+      if (!f->balancers[i].member.slots[k].is_known)
+        return false;
+  for (uint32_t i = 0; i < N_FIRST_AGENTS; i++)
+    if (f->agents[i].member.primary == UINT32_MAX)
+      return false;
+  return true;
+}
+
+static bool
+first_have_views (void *user)
+{
+  First *f = user;
+
+  for (uint32_t i = 0; i < N_FIRST_BALANCERS; i++)
+    if (fake_node_revision (&f->balancers[i]) == 0)
+      return false;
+  for (uint32_t i = 0; i < N_FIRST_AGENTS; i++)
+    if (fake_node_revision (&f->agents[i]) == 0)
+      return false;
+  return true;
+}
+
+START_TEST (test_first_view_reaches_all)
+{
+  static First f;
+  h2o_loop_t *loop = h2o_evloop_create ();
+  LcSocketAddress control[2];
+  bool is_done;
+  char name[LC_NAME_MAX];
+
+  memset (&f, 0, sizeof f);
+  fake_lease_ms = 180000;
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      fake_control_init (&f.control[i], loop, ADDRESS (120 + i), NULL);
+      control[i] = fake_control_address (&f.control[i]);
+    }
+  for (uint32_t i = 0; i < N_FIRST_BALANCERS; i++)
+    {
+      (void)g_snprintf (name, sizeof name, "first-lb-%u", i);
+      fake_node_balancer (&f.balancers[i], loop, name, ADDRESS (130 + i), "hall-atl", control, 2);
+    }
+  for (uint32_t i = 0; i < N_FIRST_AGENTS; i++)
+    {
+      (void)g_snprintf (name, sizeof name, "first-%u", i);
+      fake_node_agent (&f.agents[i], loop, name, ADDRESS (150 + i), "hall-atl", "order-desk",
+                       control, 2);
+    }
+  ck_assert (fake_run_until (loop, first_are_linked, &f, PATIENCE_MS));
+  fake_control_add_dc (&f.control[1], "hall-atl");
+  (void)fake_control_add_service (&f.control[1], "order-desk");
+  is_done = fake_run_until (loop, first_have_views, &f, PATIENCE_MS);
+  for (uint32_t i = 0; i < N_FIRST_AGENTS; i++)
+    fake_node_kill (&f.agents[i]);
+  for (uint32_t i = 0; i < N_FIRST_BALANCERS; i++)
+    fake_node_kill (&f.balancers[i]);
+  for (uint32_t i = 0; i < 2; i++)
+    fake_control_finish (&f.control[i]);
+  h2o_evloop_run (loop, 1);
+  ck_assert (is_done);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -735,6 +854,8 @@
   tc = tcase_create ("feed");
   tcase_set_timeout (tc, 60);
   tcase_add_loop_test (tc, test_subscriber_ahead_of_its_server, 0, 2);
+  tcase_add_test (tc, test_first_view_is_told_once);
+  tcase_add_test (tc, test_first_view_reaches_all);
   suite_add_tcase (suite, tc);
   return lc_fake_run (suite);
 }
--- a/tests/member/test-member.c
+++ b/tests/member/test-member.c
@@ -370,12 +370,42 @@
 }
 END_TEST
 
+static void
+count_report (void *user, const LcMemberChange *change)
+{
+  (void)change;
+  (*(uint32_t *)user)++;
+}
+
+/* What was reported while nobody could act on it is due again when somebody can. */
+START_TEST (test_reports_again)
+{
+  LcMemberChange announced = { .kind = LC_MEMBER_ENDPOINT_ANNOUNCED,
+                               .endpoint = endpoint_op (50, 1, LC_ENDPOINT_JOINING).endpoint };
+  LcWatchDesc desc = { .resend_ms = 1000 };
+  uint32_t n_reports = 0;
+  LcWatch watch;
+
+  lc_watch_init (&watch, &desc);
+  lc_watch_announce (&watch, &announced, 0);
+  lc_watch_collect (&watch, &view, 1, count_report, &n_reports);
+  lc_watch_collect (&watch, &view, 2, count_report, &n_reports);
+  ck_assert_uint_eq (n_reports, 1);
+  lc_watch_report_again (&watch);
+  lc_watch_collect (&watch, &view, 3, count_report, &n_reports);
+  lc_watch_collect (&watch, &view, 4, count_report, &n_reports);
+  ck_assert_uint_eq (n_reports, 2);
+  lc_watch_finish (&watch);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *suite = suite_create ("member");
   TCase *tc = tcase_create ("decisions");
 
+  tcase_add_test (tc, test_reports_again);
   tcase_add_loop_test (tc, test_reports, 0, (int)G_N_ELEMENTS (REPORTS));
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, test_flap, 0, G_N_ELEMENTS (FLAPS));
