Tests: leases are taken out of a watcher by its own function

test_leaving_balancer_watches_nobody emptied the table of leases behind the back of their expiry list, which then held freed memory; with MALLOC_PERTURB_=140 it crashed (once in a whole run, then 12 of 12). It removes each lease as the watcher does now; what it asserts is unchanged. 0 of 3 with 1, 140, 200.

--- a/tests/member/test-member-links.c
+++ b/tests/member/test-member-links.c
@@ -427,6 +427,16 @@
   return n;
 }
 
+static void
+forget_leases (FakeNode *n)
+{
+  GList *leases = g_hash_table_get_values (n->member.watch.leases.by_name);
+
+  for (GList *i = leases; i != NULL; i = i->next)
+    lc_lease_remove (&n->member.watch.leases, i->data);
+  g_list_free (leases);
+}
+
 /* A balancer that takes long to leave is nobody's choice any more: it takes no leases from the
  * view, which would end since nobody renews them there, and reports no living endpoint as lost. */
 START_TEST (test_leaving_balancer_watches_nobody)
@@ -440,7 +450,7 @@
   for (uint32_t i = 0; i < N_BALANCERS; i++)
     {
       /* As after a restart: no lease yet, and the sweep is due. */
-      g_hash_table_remove_all (w->balancers[i].member.watch.leases.by_name);
+      forget_leases (&w->balancers[i]);
       w->balancers[i].member.seeded_us = 0;
     }
   for (int k = 0; k < 5; k++)
