Agent: requests wait beside the backend server, the newest goes first

Cause: after an outage all callers come at once before cold backend servers; each took its place in the server's own queue (3 at work, 12 waiting, then 503), behind requests that were late already, so all were late. Requests at work were also counted wrongly: a request whose caller closed or gave up counted until its flow was idle, and a copy of an answered one counted again.

Now lc-flow-gate gives a backend server as many requests as it has slots, and one ahead; the others wait in the agent, and when a slot frees the newest goes. What shows no answer for a second is doubted, one passes each 200 ms whatever the count says, what waits for two seconds is given up, and more than 256 pass. A request ends with its answer or the first FIN or RST of either side; data that was seen before begins none.

--- a/src/agent/lc-agent-flow-report.c
+++ b/src/agent/lc-agent-flow-report.c
@@ -126,7 +126,7 @@
                           .key = key,
                           .revision = plane->agent.view != NULL ? plane->agent.view->revision : 0,
                           .view_age_us = lc_member_silence_us (plane->desc.member, now_us),
-                          .n_at_work = plane->agent.n_at_work };
+                          .n_at_work = lc_flow_agent_at_work (&plane->agent) };
 }
 
 void
@@ -155,6 +155,7 @@
       line.to = (LcSocketAddress){ .ipv4 = action->send.ipv4, .port = action->send.port };
       break;
     case LC_FLOW_ACTION_TRY:
+    case LC_FLOW_ACTION_HOLD:
       return;
     case LC_FLOW_ACTION_SEARCH:
       line.kind = LC_FLOW_LOG_SEARCHED;
--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -59,6 +59,32 @@
     }
 }
 
+/* === private: to the backend server ========================================================= */
+
+/* The whole packet, in a datagram of its own. */
+static void
+lc_agent_flow__give (LcAgentFlow *plane, uint8_t *bytes, size_t len, uint32_t mark)
+{
+  const LcSocketAddress *backend = &plane->desc.settings->backend_feed;
+
+  lc_packet_format_set_mark (lc_agent_flow__format (plane), bytes, mark);
+  (void)lc_datagram_send (&plane->port, backend->ipv4, backend->port, bytes, len, NULL, 0);
+}
+
+static void
+lc_agent_flow__give_held (LcAgentFlow *plane, int64_t now_us)
+{
+  LcAgentHeldPacket *packet;
+  LcFlowHeld held;
+
+  while (lc_flow_return_next_held (&plane->agent, &held, now_us))
+    if (!held.is_given)
+      lc_agent_held_drop (&plane->held, held.flow);
+    else
+      while ((packet = lc_agent_held_take (&plane->held, held.flow)) != NULL)
+        lc_agent_flow__give (plane, packet->bytes, packet->len, LC_FLOW_MARK_NONE);
+}
+
 /* === private: messages ====================================================================== */
 
 static void
@@ -67,6 +93,7 @@
   uint8_t bytes[LC_FLOW_WIRE_MAX];
   LcFlowMessage message;
 
+  lc_agent_flow__give_held (plane, now_us);
   lc_agent_flow__send_resets (plane, now_us);
   while (lc_flow_agent_next (&plane->agent, &message, now_us))
     {
@@ -89,17 +116,6 @@
 
 /* === private: packets ======================================================================= */
 
-/* The whole packet, in a datagram of its own. */
-static void
-lc_agent_flow__give (LcAgentFlow *plane, uint8_t *bytes, const LcPacket *packet, uint32_t mark)
-{
-  const LcSocketAddress *backend = &plane->desc.settings->backend_feed;
-
-  lc_packet_format_set_mark (lc_agent_flow__format (plane), bytes, mark);
-  (void)lc_datagram_send (&plane->port, backend->ipv4, backend->port, bytes, packet->total_len,
-                          NULL, 0);
-}
-
 static void
 lc_agent_flow__deliver (LcAgentFlow *plane,
                         const LcFlowAction *action,
@@ -118,7 +134,7 @@
     }
   if (settings->delivery == LC_AGENT_DELIVERY_DATAGRAM)
     {
-      lc_agent_flow__give (plane, bytes, packet, action->deliver.mark);
+      lc_agent_flow__give (plane, bytes, packet->total_len, action->deliver.mark);
       return;
     }
   if (settings->delivery == LC_AGENT_DELIVERY_INJECT)
@@ -164,7 +180,7 @@
       lc_agent_flow__send (plane, &envelope, others[i].ipv4, others[i].port, bytes, packet);
     }
   if (is_here)
-    lc_agent_flow__give (plane, bytes, packet, plane->agent.desc.self.id);
+    lc_agent_flow__give (plane, bytes, packet->total_len, plane->agent.desc.self.id);
   return n;
 }
 
@@ -188,7 +204,7 @@
       lc_agent_flow__send (plane, envelope, action->send.ipv4, action->send.port, bytes, packet);
       break;
     case LC_FLOW_ACTION_TRY:
-      lc_agent_flow__give (plane, bytes, packet, action->try_mark);
+      lc_agent_flow__give (plane, bytes, packet->total_len, action->try_mark);
       break;
     case LC_FLOW_ACTION_SEARCH:
       n_asked = lc_agent_flow__search (plane, action->is_here, bytes, packet);
@@ -196,6 +212,9 @@
     case LC_FLOW_ACTION_RESET:
       lc_agent_flow__reset (plane, packet);
       break;
+    case LC_FLOW_ACTION_HOLD:
+      (void)lc_agent_held_put (&plane->held, action->hold_flow, bytes, packet->total_len);
+      break;
     case LC_FLOW_ACTION_DROP:
       break;
     }
@@ -379,6 +398,7 @@
   desc->assign.work_weight = LC_AGENT_FLOW_WORK_WEIGHT;
   desc->assign.ramp_first_permille = LC_AGENT_FLOW_RAMP_PERMILLE;
   desc->assign.near_permille = LC_AGENT_FLOW_NEAR_PERMILLE;
+  desc->has_gate = true;
   desc->assign.stale_us = LC_AGENT_FLOW_STALE_MS * LC_US_PER_MS;
 }
 
@@ -395,6 +415,7 @@
     return;
   if (plane->has_agent)
     lc_flow_agent_finish (&plane->agent); /* another backend server: the flows were its own */
+  lc_agent_held_finish (&plane->held);
   desc.self = (LcCandidate){ e->id, e->ipv4, e->instance, e->flow_port };
   desc.service_id = e->service_id;
   desc.connection_limit = settings->connection_limit;
@@ -483,6 +504,7 @@
     lc_datagram_finish (&plane->outbound);
   if (plane->has_agent)
     lc_flow_agent_finish (&plane->agent);
+  lc_agent_held_finish (&plane->held);
   plane->has_agent = false;
 }
 
--- a/src/agent/lc-agent-flow.h
+++ b/src/agent/lc-agent-flow.h
@@ -15,6 +15,7 @@
 #ifndef LC_AGENT_FLOW_H
 #define LC_AGENT_FLOW_H
 
+#include "lc-agent-held.h"
 #include "lc-agent-inject.h"
 #include "lc-agent-relay.h"
 #include "lc-agent-settings.h"
@@ -42,6 +43,7 @@
   bool has_outbound;
   LcAgentRelay relay;
   LcAgentInject inject;
+  LcAgentHeld held; /* packets that wait for a free slot of the backend server */
   LcTimer timer;
   LcFlowMeter meter;
   uint64_t burned[LC_N_BURN_COUNTERS]; /* totals already brought to app->burn */
--- a/src/core/flow/lc-flow-agent-private.h
+++ b/src/core/flow/lc-flow-agent-private.h
@@ -13,6 +13,9 @@
 {
 #endif
 
+  /* The flow's request is answered, given up or moved: it counts no more, and packets held for it
+   * are dropped. */
+  void lc_flow_agent__end_request (LcFlowAgent *agent, LcFlow *flow);
   LcSteerKnown lc_flow_agent__known (const LcFlowAgent *agent, const LcFlow *flow);
   bool lc_flow_agent__is_accepting (const LcFlowAgent *agent);
   LcFlowAction lc_flow_agent__drop (LcFlowAgent *agent, LcDropReason reason);
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -72,7 +72,7 @@
   if (self == NULL)
     return;
   self->open_flows = lc_flow_agent_open_flows (a);
-  self->at_work = a->n_at_work;
+  self->at_work = lc_flow_agent_at_work (a);
   self->byte_rate = a->byte_rate;
   self->is_accepting = lc_flow_agent__is_accepting (a);
   self->looks_bad = a->looks_bad;
@@ -117,6 +117,21 @@
   return lc_flow_view_is_gone (a->view, who, e->revision);
 }
 
+/* === private: requests at work ============================================================== */
+
+void
+lc_flow_agent__end_request (LcFlowAgent *a, LcFlow *f)
+{
+  LcFlowHeld held = { .flow = lc_flow_table_index (&a->table, f) };
+
+  if ((f->flags & (LC_FLOW_AT_WORK | LC_FLOW_WAITING)) == 0)
+    return;
+  lc_flow_gate_end (&a->gate, held.flow);
+  if ((f->flags & LC_FLOW_WAITING) != 0)
+    g_array_append_val (a->held, held);
+  f->flags &= (uint8_t) ~(LC_FLOW_AT_WORK | LC_FLOW_WAITING);
+}
+
 /* === private: taking and assigning ========================================================== */
 
 LcFlowAction
@@ -156,8 +171,11 @@
     f = lc_flow_table_add (&a->table, &packet->key, lc_flow_key_hash (&packet->key));
   if (f == NULL)
     return lc_flow_agent__drop (a, LC_DROP_NO_MEMORY);
+  lc_flow_agent__end_request (a, f);
   lc_flow_table_set_kind (&a->table, f, LC_FLOW_OWNED);
   f->flags = 0;
+  f->began_ms = 0;
+  f->data_end = 0;
   f->endpoint_id = 0;
   f->instance = 0;
   f->epoch = 0;
@@ -181,6 +199,7 @@
     f = lc_flow_table_add (&a->table, &packet->key, lc_flow_key_hash (&packet->key));
   if (f == NULL)
     return false;
+  lc_flow_agent__end_request (a, f);
   lc_flow_table_set_kind (&a->table, f, LC_FLOW_POINTER);
   f->flags = 0;
   f->endpoint_id = owner->id;
@@ -236,6 +255,7 @@
     f = lc_flow_table_add (&a->table, &packet->key, lc_flow_key_hash (&packet->key));
   if (f == NULL || is_other)
     return;
+  lc_flow_agent__end_request (a, f);
   lc_flow_table_set_kind (&a->table, f, LC_FLOW_PENDING);
   f->flags = 0;
   f->endpoint_id = assigner->id;
@@ -431,7 +451,7 @@
 static uint32_t
 lc_flow_agent__weight (const LcFlowAgent *a)
 {
-  return lc_flow_agent_open_flows (a) + a->n_at_work * a->desc.assign.work_weight;
+  return lc_flow_agent_open_flows (a) + lc_flow_agent_at_work (a) * a->desc.assign.work_weight;
 }
 
 static bool
@@ -480,6 +500,14 @@
   return value_us != 0 ? value_us : when_zero_us;
 }
 
+static void
+lc_flow_agent__set_slots (LcFlowAgent *a)
+{
+  const LcAssignPeer *self = lc_assign_peer (&a->assign, a->desc.self.id);
+
+  lc_flow_gate_set_slots (&a->gate, a->desc.has_gate && self != NULL ? self->slots : 0);
+}
+
 /* === public: lifetime and view ============================================================== */
 
 void
@@ -502,6 +530,8 @@
   if (d->is_returning)
     a->searches = g_new0 (LcFlowSearches, 1);
   a->resets = g_array_new (FALSE, FALSE, sizeof (LcPacket));
+  a->held = g_array_new (FALSE, FALSE, sizeof (LcFlowHeld));
+  lc_flow_gate_init (&a->gate, &d->gate);
 }
 
 void
@@ -515,6 +545,8 @@
   g_queue_free_full (a->outbox, g_free);
   g_free (a->searches);
   g_array_unref (a->resets);
+  g_array_unref (a->held);
+  lc_flow_gate_finish (&a->gate);
   memset (a, 0, sizeof *a);
 }
 
@@ -532,6 +564,7 @@
   lc_flow_list_remember_settling (a, now_us);
   a->sets_version++;
   lc_flow_pointers_sets_changed (a);
+  lc_flow_agent__set_slots (a);
 }
 
 /* === public: packets and messages =========================================================== */
@@ -611,7 +644,7 @@
   out->load.agent = a->desc.self;
   out->load.revision = a->view != NULL ? a->view->revision : 0;
   out->load.open_flows = lc_flow_agent_open_flows (a);
-  out->load.at_work = a->n_at_work;
+  out->load.at_work = lc_flow_agent_at_work (a);
   out->load.byte_rate = a->byte_rate;
   out->load.is_accepting =
       lc_flow_agent__is_accepting (a) && out->load.open_flows < a->desc.connection_limit;
@@ -681,6 +714,12 @@
   return a->view != NULL && a->n_behind == 0 ? a->view->revision : 0;
 }
 
+uint32_t
+lc_flow_agent_at_work (const LcFlowAgent *a)
+{
+  return lc_flow_gate_n_working (&a->gate) + lc_flow_gate_n_waiting (&a->gate);
+}
+
 uint32_t
 lc_flow_agent_open_flows (const LcFlowAgent *a)
 {
--- a/src/core/flow/lc-flow-agent.h
+++ b/src/core/flow/lc-flow-agent.h
@@ -36,6 +36,7 @@
 #ifndef LC_FLOW_AGENT_H
 #define LC_FLOW_AGENT_H
 
+#include "lc-flow-gate.h"
 #include "lc-flow-message.h"
 #include "lc-flow-search.h"
 #include "lc-steer.h"
@@ -66,6 +67,8 @@
     uint32_t backend_ipv4;       /* named in hand-overs */
     uint16_t backend_port;
     bool is_returning; /* the backend server returns what it does not hold: lc-flow-return.h */
+    bool has_gate;     /* and requests wait beside it when it has no free slot: lc-flow-gate.h */
+    LcFlowGateDesc gate;
     LcAssignDesc assign;
   } LcFlowAgentDesc;
 
@@ -79,6 +82,7 @@
     LC_FLOW_ACTION_TRY = 4,    /* give it to the backend server with try_mark; nobody owns it yet */
     LC_FLOW_ACTION_SEARCH = 5, /* ask every other agent of the service, and here if is_here */
     LC_FLOW_ACTION_RESET = 6,  /* tell the caller that the flow can't be opened, for `reason` */
+    LC_FLOW_ACTION_HOLD = 7, /* keep it with the others of `hold_flow`: lc_flow_return_next_held */
   } LcFlowActionKind;
 
   typedef struct
@@ -101,6 +105,7 @@
       } send;
       LcDropReason reason;
       uint32_t try_mark;
+      uint32_t hold_flow; /* index in the table */
       bool is_here;
     };
   } LcFlowAction;
@@ -119,6 +124,13 @@
     int64_t after_us; /* since the packet that it answers; whole milliseconds */
   } LcFlowAnswer;
 
+  /* What becomes of the packets that were held for a flow. */
+  typedef struct
+  {
+    uint32_t flow; /* as in LcFlowAction.hold_flow */
+    bool is_given; /* to the backend server now; false: dropped */
+  } LcFlowHeld;
+
   typedef struct
   {
     uint64_t delivered_total;
@@ -151,7 +163,8 @@
     uint32_t sets_version;
     uint32_t n_behind;
     uint32_t n_adopted; /* owned, of another's backend server */
-    uint32_t n_at_work; /* owned, with a request that has no answer yet */
+    LcFlowGate gate;    /* requests that the backend server works on, and those that wait */
+    GArray *held;       /* LcFlowHeld: what is to be done with packets that were held */
     uint32_t n_ended;   /* owned and not adopted, waiting for stragglers after the last packet */
     LcDcId dc;          /* of this agent */
     LcDcId arrival_dc;  /* where the packet at hand came in; 0: not known */
@@ -208,6 +221,8 @@
   LcRevision lc_flow_agent_registered_revision (const LcFlowAgent *agent);
   /* Flows of this agent's own backend server. */
   uint32_t lc_flow_agent_open_flows (const LcFlowAgent *agent);
+  /* Requests without an answer: those that the backend server has, and those that wait for it. */
+  uint32_t lc_flow_agent_at_work (const LcFlowAgent *agent);
 
 #ifdef __cplusplus
 }
--- /dev/null
+++ b/src/core/flow/lc-flow-gate.c
@@ -0,0 +1,213 @@
+#include "lc-flow-gate.h"
+
+#include <string.h>
+
+enum
+{
+  LC_FLOW_GATE_AHEAD = 1,
+  LC_FLOW_GATE_MAX_WAITING = 256,
+};
+
+#define LC_FLOW_GATE_DOUBT_US LC_US_PER_S
+#define LC_FLOW_GATE_PROBE_US (200 * LC_US_PER_MS)
+#define LC_FLOW_GATE_GIVE_UP_US (2 * LC_US_PER_S)
+
+/* === private ================================================================================ */
+
+static int64_t
+lc_flow_gate__or_us (int64_t value_us, int64_t when_zero_us)
+{
+  return value_us != 0 ? value_us : when_zero_us;
+}
+
+static LcFlowGateRequest *
+lc_flow_gate__at (const GArray *requests, guint i)
+{
+  return &g_array_index (requests, LcFlowGateRequest, i);
+}
+
+/* Its place, or the array's length. */
+static guint
+lc_flow_gate__find (const GArray *requests, uint32_t flow)
+{
+  guint i = 0;
+
+  while (i < requests->len && lc_flow_gate__at (requests, i)->flow != flow)
+    i++;
+  return i;
+}
+
+static void
+lc_flow_gate__put (GArray *requests, uint32_t flow, int64_t at_us)
+{
+  LcFlowGateRequest request = { flow, at_us };
+
+  g_array_append_val (requests, request);
+}
+
+static void
+lc_flow_gate__doubt (LcFlowGate *gate, int64_t now_us)
+{
+  guint n = 0;
+
+  while (n < gate->working->len &&
+         now_us - lc_flow_gate__at (gate->working, n)->at_us >= gate->desc.doubt_us)
+    n++;
+  if (n == 0)
+    return;
+  g_array_remove_range (gate->working, 0, n);
+  gate->doubted_total += n;
+}
+
+static bool
+lc_flow_gate__has_room (LcFlowGate *gate, int64_t now_us)
+{
+  if (gate->slots == 0 || gate->working->len < gate->slots + gate->desc.ahead)
+    return true;
+  if (now_us - gate->moved_us < gate->desc.probe_us)
+    return false;
+  gate->probes_total++;
+  return true;
+}
+
+/* Whose turn it is; something waits. */
+static guint
+lc_flow_gate__choose (const LcFlowGate *gate)
+{
+  guint best = 0;
+
+  for (guint i = 1; i < gate->waiting->len; i++)
+    {
+      int64_t at_us = lc_flow_gate__at (gate->waiting, i)->at_us;
+      int64_t best_us = lc_flow_gate__at (gate->waiting, best)->at_us;
+
+      switch (gate->desc.order)
+        {
+        case LC_FLOW_GATE_NEWEST_FIRST:
+          best = at_us >= best_us ? i : best;
+          break;
+        case LC_FLOW_GATE_OLDEST_FIRST:
+          best = at_us < best_us ? i : best;
+          break;
+        }
+    }
+  return best;
+}
+
+static void
+lc_flow_gate__pass (LcFlowGate *gate, uint32_t flow, int64_t now_us)
+{
+  lc_flow_gate__put (gate->working, flow, now_us);
+  gate->moved_us = now_us;
+}
+
+/* === public ================================================================================= */
+
+void
+lc_flow_gate_init (LcFlowGate *gate, const LcFlowGateDesc *desc)
+{
+  LcFlowGateDesc *d = &gate->desc;
+
+  memset (gate, 0, sizeof *gate);
+  *d = *desc;
+  d->ahead = d->ahead != 0 ? d->ahead : LC_FLOW_GATE_AHEAD;
+  d->max_waiting = d->max_waiting != 0 ? d->max_waiting : LC_FLOW_GATE_MAX_WAITING;
+  d->doubt_us = lc_flow_gate__or_us (d->doubt_us, LC_FLOW_GATE_DOUBT_US);
+  d->probe_us = lc_flow_gate__or_us (d->probe_us, LC_FLOW_GATE_PROBE_US);
+  d->give_up_us = lc_flow_gate__or_us (d->give_up_us, LC_FLOW_GATE_GIVE_UP_US);
+  gate->working = g_array_new (FALSE, FALSE, sizeof (LcFlowGateRequest));
+  gate->waiting = g_array_new (FALSE, FALSE, sizeof (LcFlowGateRequest));
+}
+
+void
+lc_flow_gate_finish (LcFlowGate *gate)
+{
+  g_array_unref (gate->working);
+  g_array_unref (gate->waiting);
+  memset (gate, 0, sizeof *gate);
+}
+
+void
+lc_flow_gate_set_slots (LcFlowGate *gate, uint32_t slots)
+{
+  gate->slots = slots;
+}
+
+LcFlowGateVerdict
+lc_flow_gate_request (LcFlowGate *gate, uint32_t flow, int64_t began_us, int64_t now_us)
+{
+  if (lc_flow_gate__find (gate->working, flow) < gate->working->len)
+    return LC_FLOW_GATE_PASS;
+  if (lc_flow_gate__find (gate->waiting, flow) < gate->waiting->len)
+    return LC_FLOW_GATE_WAIT;
+  if (gate->waiting->len >= gate->desc.max_waiting)
+    {
+      gate->overflows_total++;
+      lc_flow_gate__pass (gate, flow, now_us);
+      return LC_FLOW_GATE_PASS;
+    }
+  lc_flow_gate__doubt (gate, now_us);
+  lc_flow_gate__put (gate->waiting, flow, began_us);
+  if (lc_flow_gate__choose (gate) == gate->waiting->len - 1 &&
+      lc_flow_gate__has_room (gate, now_us))
+    {
+      g_array_set_size (gate->waiting, gate->waiting->len - 1);
+      lc_flow_gate__pass (gate, flow, now_us);
+      return LC_FLOW_GATE_PASS;
+    }
+  gate->waited_total++;
+  return LC_FLOW_GATE_WAIT;
+}
+
+void
+lc_flow_gate_end (LcFlowGate *gate, uint32_t flow)
+{
+  guint working = lc_flow_gate__find (gate->working, flow);
+  guint waiting = lc_flow_gate__find (gate->waiting, flow);
+
+  if (waiting < gate->waiting->len)
+    g_array_remove_index (gate->waiting, waiting);
+  if (working < gate->working->len)
+    g_array_remove_index (gate->working, working);
+}
+
+bool
+lc_flow_gate_next (LcFlowGate *gate, int64_t now_us, uint32_t *flow)
+{
+  guint i;
+
+  lc_flow_gate__doubt (gate, now_us);
+  if (gate->waiting->len == 0 || !lc_flow_gate__has_room (gate, now_us))
+    return false;
+  i = lc_flow_gate__choose (gate);
+  *flow = lc_flow_gate__at (gate->waiting, i)->flow;
+  g_array_remove_index (gate->waiting, i);
+  lc_flow_gate__pass (gate, *flow, now_us);
+  return true;
+}
+
+bool
+lc_flow_gate_give_up (LcFlowGate *gate, int64_t now_us, uint32_t *flow)
+{
+  for (guint i = 0; i < gate->waiting->len; i++)
+    if (now_us - lc_flow_gate__at (gate->waiting, i)->at_us >= gate->desc.give_up_us)
+      {
+        *flow = lc_flow_gate__at (gate->waiting, i)->flow;
+        g_array_remove_index (gate->waiting, i);
+        gate->given_up_total++;
+        return true;
+      }
+  return false;
+}
+
+uint32_t
+lc_flow_gate_n_working (const LcFlowGate *gate)
+{
+  return gate->working->len;
+}
+
+uint32_t
+lc_flow_gate_n_waiting (const LcFlowGate *gate)
+{
+  return gate->waiting->len;
+}
--- /dev/null
+++ b/src/core/flow/lc-flow-gate.h
@@ -0,0 +1,114 @@
+/* lc-flow-gate: which requests a backend server is given now, and which wait beside it.
+ *
+ * WHAT IT IS
+ *   A backend server works on as many requests as it has slots, queues a few more in the order in
+ *   which they come, and refuses the rest.  When more come than it can work on, after an outage or
+ *   while it is slow or cold, its queue is filled with requests that are late already, and each new
+ *   one waits behind them: all are late.  The gate keeps that queue short.  It counts the requests
+ *   that the server works on, lets no more pass than the slots and a few ahead, and when a slot
+ *   frees gives the one that came last among those that wait: it has the best chance to be answered
+ *   in time.  Those that are late already get what capacity is left over.
+ *
+ * LOAD PATTERN
+ *   All callers of an outage at once, before backend servers that are cold: a backlog of one to two
+ *   seconds of requests, new ones at two thirds of the capacity.
+ *
+ * LIMITS, AND WHY
+ *   - A request passes for every slot, and `ahead` more: a slot that frees finds the next request
+ *     there, without the time that the agent needs to send it.
+ *   - A request that shows no answer for `doubt_us` no longer counts: its caller may have given it
+ *     up without a word.  So the count can't leak, and what it holds back comes back by itself.
+ *   - When no request has passed for `probe_us`, one passes whatever the count says.
+ *   - At most `max_waiting` wait; what comes beyond passes, and the server's own refusal, which is
+ *     certain, answers it.
+ *   - What has waited for `give_up_us` is given up: its caller is gone.
+ *
+ * HOW TO USE IT
+ *     lc_flow_gate_init (&gate, &desc);
+ *     if (lc_flow_gate_request (&gate, flow, began_us, now_us) == LC_FLOW_GATE_WAIT)
+ *       keep its packets
+ *     lc_flow_gate_end (&gate, flow);                         it is answered, or ended otherwise
+ *     while (lc_flow_gate_next (&gate, now_us, &flow))
+ *       give its packets to the backend server
+ *     while (lc_flow_gate_give_up (&gate, now_us, &flow))
+ *       drop its packets
+ *     lc_flow_gate_finish (&gate);
+ *
+ * LIFETIME
+ *   `flow` is the caller's own number of a flow, which has at most one request at a time; end it
+ *   before the number is used for another.
+ */
+#ifndef LC_FLOW_GATE_H
+#define LC_FLOW_GATE_H
+
+#include "core/lc-types.h"
+
+#include <glib.h>
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  typedef enum
+  {
+    LC_FLOW_GATE_NEWEST_FIRST = 0,
+    LC_FLOW_GATE_OLDEST_FIRST = 1, /* as the backend server's own queue: a baseline */
+  } LcFlowGateOrder;
+
+  typedef struct
+  {
+    LcFlowGateOrder order;
+    uint32_t ahead;       /* 0: 1 */
+    uint32_t max_waiting; /* 0: 256 */
+    int64_t doubt_us;     /* 0: 1 s, longer than slow backend servers take for a request */
+    int64_t probe_us;     /* 0: 200 ms, ten usual requests */
+    int64_t give_up_us;   /* 0: 2 s, the shortest time for which callers wait */
+  } LcFlowGateDesc;
+
+  typedef enum
+  {
+    LC_FLOW_GATE_PASS = 1,
+    LC_FLOW_GATE_WAIT = 2,
+  } LcFlowGateVerdict;
+
+  typedef struct
+  {
+    uint32_t flow;
+    int64_t at_us; /* working: given then; waiting: its caller began it then */
+  } LcFlowGateRequest;
+
+  typedef struct
+  {
+    LcFlowGateDesc desc;
+    uint32_t slots;  /* of the backend server; 0: not known, nothing waits */
+    GArray *working; /* LcFlowGateRequest, the oldest first */
+    GArray *waiting; /* LcFlowGateRequest */
+    int64_t moved_us; /* when a request last passed */
+    uint64_t waited_total;
+    uint64_t given_up_total;
+    uint64_t doubted_total;
+    uint64_t probes_total;
+    uint64_t overflows_total; /* passed because too many waited */
+  } LcFlowGate;
+
+  void lc_flow_gate_init (LcFlowGate *gate, const LcFlowGateDesc *desc);
+  void lc_flow_gate_finish (LcFlowGate *gate);
+  void lc_flow_gate_set_slots (LcFlowGate *gate, uint32_t slots);
+
+  /* The first packet of a request, or another one of it. */
+  LcFlowGateVerdict
+  lc_flow_gate_request (LcFlowGate *gate, uint32_t flow, int64_t began_us, int64_t now_us);
+  /* The request of this flow, if there is one, is answered, given up or moved. */
+  void lc_flow_gate_end (LcFlowGate *gate, uint32_t flow);
+  bool lc_flow_gate_next (LcFlowGate *gate, int64_t now_us, uint32_t *flow);
+  bool lc_flow_gate_give_up (LcFlowGate *gate, int64_t now_us, uint32_t *flow);
+  /* Requests that the backend server works on or has before it, and those that wait for it. */
+  uint32_t lc_flow_gate_n_working (const LcFlowGate *gate);
+  uint32_t lc_flow_gate_n_waiting (const LcFlowGate *gate);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif /* LC_FLOW_GATE_H */
--- a/src/core/flow/lc-flow-key.h
+++ b/src/core/flow/lc-flow-key.h
@@ -54,6 +54,7 @@
     bool is_reset;     /* the sender has ended the flow */
     bool is_returned;  /* a caller's packet, handed back by a backend server without the flow */
     uint32_t n_copies; /* first packets: how many copies the caller has sent before */
+    uint32_t sequence; /* place of the first byte of data in what the sender sends */
     uint32_t acknowledged; /* other packets: the sender's newest acknowledgement */
     uint32_t mark;         /* ours: given to a backend server, handed back with what it returns */
   } LcPacket;
--- a/src/core/flow/lc-flow-pointers.c
+++ b/src/core/flow/lc-flow-pointers.c
@@ -1,5 +1,7 @@
 #include "lc-flow-pointers.h"
 
+#include "lc-flow-agent-private.h"
+
 #include <string.h>
 
 enum
@@ -200,8 +202,8 @@
   lc_flow_pointers__set_behind (a, f, false);
   a->n_adopted -= (f->flags & LC_FLOW_ADOPTED) != 0;
   a->n_ended -= (f->flags & (LC_FLOW_ENDED | LC_FLOW_ADOPTED)) == LC_FLOW_ENDED;
-  a->n_at_work -= (f->flags & LC_FLOW_AT_WORK) != 0;
-  f->flags &= (uint8_t) ~(LC_FLOW_ADOPTED | LC_FLOW_ENDED | LC_FLOW_AT_WORK);
+  lc_flow_agent__end_request (a, f);
+  f->flags &= (uint8_t) ~(LC_FLOW_ADOPTED | LC_FLOW_ENDED);
   lc_flow_table_dequeue (&a->table, f);
   lc_flow_table_set_kind (&a->table, f, LC_FLOW_PENDING);
 }
@@ -495,6 +497,8 @@
   if (f == NULL)
     return;
   lc_flow_table_set_kind (&a->table, f, LC_FLOW_OWNED);
+  f->began_ms = 0;
+  f->data_end = 0;
   f->flags = (uint8_t)((is_own ? 0 : LC_FLOW_ADOPTED) | (entry->is_end ? LC_FLOW_ENDED : 0));
   a->n_adopted += !is_own;
   a->n_ended += is_own && entry->is_end;
--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -7,7 +7,9 @@
 
 enum
 {
-  LC_FLOW_RETURN_HOPS = 8, /* hops that a returned first packet costs: four endpoints see it */
+  LC_FLOW_COPY_MS = 200,        /* after which a caller sends a first packet again */
+  LC_FLOW_SECOND_COPY_MS = 600, /* and once more */
+  LC_FLOW_RETURN_HOPS = 8,      /* hops that a returned first packet costs: four endpoints see it */
 };
 
 /* A lost endpoint's flows count as gone after this time: it is longer than the lease, and than the
@@ -98,6 +100,15 @@
   return (uint32_t)(now_us / LC_US_PER_MS);
 }
 
+/* How long ago the caller sent the first of these first packets, at least. */
+static uint32_t
+lc_flow_return__age_ms (const LcPacket *packet)
+{
+  static const uint32_t AGES_MS[] = { 0, LC_FLOW_COPY_MS, LC_FLOW_SECOND_COPY_MS };
+
+  return AGES_MS[MIN (packet->n_copies, (uint32_t)G_N_ELEMENTS (AGES_MS) - 1)];
+}
+
 /* A first packet remembers the hops that it has left while the backend server looks at it. */
 static LcFlowAction
 lc_flow_return__marked (LcFlowAgent *a,
@@ -110,7 +121,13 @@
     return action;
   action.deliver.mark = packet->may_open ? e->hops_left : LC_FLOW_MARK_NONE;
   if (action.deliver.is_new)
-    a->table.flows[action.deliver.flow].work_ms = lc_flow_return__ms (now_us);
+    {
+      LcFlow *f = &a->table.flows[action.deliver.flow];
+
+      f->work_ms = lc_flow_return__ms (now_us);
+      f->began_ms = MAX (f->work_ms - lc_flow_return__age_ms (packet), 1U);
+      f->data_end = packet->sequence + 1;
+    }
   return action;
 }
 
@@ -137,21 +154,57 @@
 
 /* === private: requests at work ============================================================== */
 
-static void
-lc_flow_return__set_at_work (LcFlowAgent *a, LcFlow *f, bool is_at_work, int64_t now_us)
+static bool
+lc_flow_return__has_data (const LcPacket *packet)
 {
-  if (((f->flags & LC_FLOW_AT_WORK) != 0) == is_at_work)
-    return;
-  if (is_at_work)
-    f->work_ms = lc_flow_return__ms (now_us);
-  f->flags ^= LC_FLOW_AT_WORK;
-  a->n_at_work += is_at_work ? 1 : -1;
+  return packet->total_len > packet->payload_start;
 }
 
+/* Whether the packet brings data that the caller has not sent before.  A copy of a request that was
+ * answered meanwhile is none: it would count as at work and never be answered. */
 static bool
-lc_flow_return__has_data (const LcPacket *packet)
+lc_flow_return__is_news (LcFlow *f, const LcPacket *packet)
 {
-  return packet->total_len > packet->payload_start;
+  uint32_t end = packet->sequence + packet->total_len - packet->payload_start;
+
+  if (!lc_flow_return__has_data (packet) || (f->data_end != 0 && (int32_t)(end - f->data_end) <= 0))
+    return false;
+  f->data_end = end;
+  return true;
+}
+
+/* When the caller began to wait: for the first request of a flow, before it opened the flow. */
+static int64_t
+lc_flow_return__began_us (LcFlow *f, int64_t now_us)
+{
+  uint32_t age_ms = f->began_ms != 0 ? lc_flow_return__ms (now_us) - f->began_ms : 0;
+
+  f->began_ms = 0;
+  return now_us - (int64_t)age_ms * LC_US_PER_MS;
+}
+
+/* A packet for the backend server here: whether it must wait beside it. */
+static bool
+lc_flow_return__must_wait (LcFlowAgent *a, LcFlow *f, const LcPacket *packet, int64_t now_us)
+{
+  uint32_t flow = lc_flow_table_index (&a->table, f);
+
+  if (packet->is_last)
+    {
+      lc_flow_agent__end_request (a, f);
+      return false;
+    }
+  if ((f->flags & LC_FLOW_WAITING) != 0)
+    return lc_flow_return__has_data (packet);
+  if (!lc_flow_return__is_news (f, packet) || (f->flags & LC_FLOW_AT_WORK) != 0)
+    return false;
+  f->work_ms = lc_flow_return__ms (now_us);
+  f->flags |= LC_FLOW_AT_WORK;
+  if (lc_flow_gate_request (&a->gate, flow, lc_flow_return__began_us (f, now_us), now_us) ==
+      LC_FLOW_GATE_PASS)
+    return false;
+  f->flags |= LC_FLOW_WAITING;
+  return true;
 }
 
 /* === private: owned flows =================================================================== */
@@ -253,8 +306,9 @@
   if (lc_flow_return__is_owned (a, f, packet))
     {
       lc_flow_return__remind_homes (a, f, e);
-      if (lc_flow_return__has_data (packet))
-        lc_flow_return__set_at_work (a, f, true, now_us);
+      if (lc_flow_return__must_wait (a, f, packet, now_us))
+        return (LcFlowAction){ .kind = LC_FLOW_ACTION_HOLD,
+                               .hold_flow = lc_flow_table_index (&a->table, f) };
       return lc_flow_return__marked (a, lc_flow_agent__deliver (a, f, packet, false, now_us), e,
                                      packet, now_us);
     }
@@ -360,8 +414,10 @@
   if (f == NULL || f->kind != LC_FLOW_OWNED)
     return answer;
   f->flags |= LC_FLOW_ANSWERED;
-  if (lc_flow_return__has_data (packet))
-    lc_flow_return__set_at_work (a, f, false, now_us);
+  if (!packet->is_accept && (int32_t)(packet->acknowledged - f->data_end) > 0)
+    f->data_end = packet->acknowledged;
+  if (lc_flow_return__has_data (packet) || packet->is_last)
+    lc_flow_agent__end_request (a, f);
   return answer;
 }
 
@@ -372,6 +428,29 @@
     lc_flow_return__deny (a, &m->entries[i].key, m->load.agent.id, m->load.revision, now_us);
 }
 
+bool
+lc_flow_return_next_held (LcFlowAgent *a, LcFlowHeld *held, int64_t now_us)
+{
+  uint32_t flow;
+
+  if (a->held->len > 0)
+    {
+      *held = g_array_index (a->held, LcFlowHeld, 0);
+      g_array_remove_index (a->held, 0);
+      return true;
+    }
+  held->is_given = lc_flow_gate_next (&a->gate, now_us, &flow);
+  if (!held->is_given && !lc_flow_gate_give_up (&a->gate, now_us, &flow))
+    return false;
+  held->flow = flow;
+  a->table.flows[flow].flags &= (uint8_t)~LC_FLOW_WAITING;
+  if (held->is_given)
+    a->table.flows[flow].work_ms = lc_flow_return__ms (now_us);
+  else
+    a->table.flows[flow].flags &= (uint8_t)~LC_FLOW_AT_WORK;
+  return true;
+}
+
 bool
 lc_flow_return_next_reset (LcFlowAgent *a, LcPacket *packet)
 {
--- a/src/core/flow/lc-flow-return.h
+++ b/src/core/flow/lc-flow-return.h
@@ -21,6 +21,8 @@
  *     action = lc_flow_return_returned (&agent, &envelope, &packet, now_us);
  *     lc_flow_return_answered (&agent, &packet, now_us);
  *     n = lc_flow_return_others (&agent, others, LC_FLOW_SEARCH_MAX);    of LC_FLOW_ACTION_SEARCH
+ *     while (lc_flow_return_next_held (&agent, &held, now_us))
+ *       give the packets held for held.flow to the backend server, or drop them
  *     while (lc_flow_return_next_reset (&agent, &packet))
  *       answer the packet with a reset
  *
@@ -67,6 +69,9 @@
                                   LcCandidate out[LC_FLOW_SEARCH_MAX]);
   /* An agent that was asked says that its backend server does not hold these flows. */
   void lc_flow_return_denied (LcFlowAgent *agent, const LcFlowMessage *message, int64_t now_us);
+  /* What becomes of packets that LC_FLOW_ACTION_HOLD kept, after each packet and each tick; false:
+   * nothing now. */
+  bool lc_flow_return_next_held (LcFlowAgent *agent, LcFlowHeld *held, int64_t now_us);
   /* Packets of flows that nobody holds; false: none is left. */
   bool lc_flow_return_next_reset (LcFlowAgent *agent, LcPacket *packet);
   /* The envelope of a search that this agent begins. */
--- a/src/core/flow/lc-flow-table.h
+++ b/src/core/flow/lc-flow-table.h
@@ -60,6 +60,7 @@
     LC_FLOW_ENDED = 16,    /* OWNED: the last packet passed */
     LC_FLOW_AT_WORK = 32,  /* OWNED: the caller sent data, and no answer has begun */
     LC_FLOW_ANSWERED = 64, /* OWNED: the backend server has sent something */
+    LC_FLOW_WAITING = 128, /* OWNED: at work, but its packets wait beside the backend server */
   };
 
   typedef struct
@@ -82,6 +83,8 @@
     uint32_t sets_version; /* OWNED: which homes `acked` speaks of */
     uint32_t sent_ms;      /* OWNED: last registration sent */
     uint32_t work_ms;      /* OWNED: when what the backend server has not answered yet was given */
+    uint32_t began_ms;     /* OWNED: when the caller began what its first packet is for; 0: done */
+    uint32_t data_end;     /* OWNED: behind the newest data of the caller; 0: not known */
     uint32_t expiry_tick;  /* OWNED: idle until then and it ends */
     uint16_t acked;        /* OWNED: a bit a home */
     uint16_t relay_port;   /* OWNED: source port of the relay, for hand-over; 0: none */
--- a/tests/flow/return-world.c
+++ b/tests/flow/return-world.c
@@ -246,6 +246,8 @@
     case LC_FLOW_ACTION_RESET:
       w->n_resets++;
       break;
+    case LC_FLOW_ACTION_HOLD: /* these backend servers have free slots always */
+      g_assert_not_reached ();
     case LC_FLOW_ACTION_DROP:
       break;
     }
--- /dev/null
+++ b/tests/flow/test-flow-gate.c
@@ -0,0 +1,203 @@
+/* Which requests wait beside a backend server, and which goes next: tables of steps. */
+#include "core/flow/lc-flow-gate.h"
+#include "tests/fakes/lc-fake-run.h"
+
+#include <check.h>
+#include <string.h>
+
+enum
+{
+  N_STEPS = 12,
+  MS = LC_US_PER_MS,
+};
+
+typedef enum
+{
+  END_OF_STEPS,
+  ASK,     /* flow, began at `began_ms`; `expected` is the verdict */
+  END,     /* flow */
+  NEXT,    /* `expected` is the flow that goes, 0: none */
+  GIVE_UP, /* `expected` is the flow that is given up, 0: none */
+} StepKind;
+
+typedef struct
+{
+  StepKind kind;
+  int64_t at_ms;
+  uint32_t flow;
+  int64_t began_ms;
+  uint32_t expected;
+} Step;
+
+typedef struct
+{
+  const char *what;
+  LcFlowGateOrder order;
+  uint32_t slots;
+  uint32_t max_waiting;
+  Step steps[N_STEPS];
+} Case;
+
+#define PASSES LC_FLOW_GATE_PASS
+#define WAITS LC_FLOW_GATE_WAIT
+
+/* One slot and one ahead, but where slots are not known. */
+static const Case CASES[] = {
+  { "the slot and one ahead",
+    LC_FLOW_GATE_NEWEST_FIRST,
+    1,
+    0,
+    { { ASK, 0, 1, 0, PASSES }, { ASK, 0, 2, 0, PASSES }, { ASK, 0, 3, 0, WAITS } } },
+  { "slots are not known",
+    LC_FLOW_GATE_NEWEST_FIRST,
+    0,
+    0,
+    { { ASK, 0, 1, 0, PASSES }, { ASK, 0, 2, 0, PASSES }, { ASK, 0, 3, 0, PASSES } } },
+  { "more packets of the same request",
+    LC_FLOW_GATE_NEWEST_FIRST,
+    1,
+    0,
+    { { ASK, 0, 1, 0, PASSES },
+      { ASK, 0, 2, 0, PASSES },
+      { ASK, 0, 1, 0, PASSES },
+      { ASK, 0, 3, 0, WAITS },
+      { ASK, 1, 3, 1, WAITS } } },
+  { "the newest goes first",
+    LC_FLOW_GATE_NEWEST_FIRST,
+    1,
+    0,
+    { { ASK, 0, 1, 0, PASSES },
+      { ASK, 0, 2, 0, PASSES },
+      { ASK, 10, 3, 10, WAITS },
+      { ASK, 20, 4, 20, WAITS },
+      { NEXT, 20, 0, 0, 0 },
+      { END, 30, 1, 0, 0 },
+      { NEXT, 30, 0, 0, 4 },
+      { NEXT, 30, 0, 0, 0 },
+      { END, 40, 2, 0, 0 },
+      { NEXT, 40, 0, 0, 3 } } },
+  { "the oldest goes first, also before a newcomer",
+    LC_FLOW_GATE_OLDEST_FIRST,
+    1,
+    0,
+    { { ASK, 0, 1, 0, PASSES },
+      { ASK, 0, 2, 0, PASSES },
+      { ASK, 10, 3, 10, WAITS },
+      { END, 20, 1, 0, 0 },
+      { ASK, 20, 4, 20, WAITS },
+      { NEXT, 20, 0, 0, 3 } } },
+  { "one whose caller waits for long already comes after one that is new",
+    LC_FLOW_GATE_NEWEST_FIRST,
+    1,
+    0,
+    { { ASK, 0, 1, 0, PASSES },
+      { ASK, 0, 2, 0, PASSES },
+      { ASK, 10, 3, 10, WAITS },
+      { ASK, 20, 4, -580, WAITS },
+      { END, 30, 1, 0, 0 },
+      { NEXT, 30, 0, 0, 3 } } },
+  { "one that ends while it waits",
+    LC_FLOW_GATE_NEWEST_FIRST,
+    1,
+    0,
+    { { ASK, 0, 1, 0, PASSES },
+      { ASK, 0, 2, 0, PASSES },
+      { ASK, 10, 3, 10, WAITS },
+      { END, 20, 3, 0, 0 },
+      { END, 30, 1, 0, 0 },
+      { NEXT, 30, 0, 0, 0 } } },
+  { "what never shows an answer is doubted after a second",
+    LC_FLOW_GATE_NEWEST_FIRST,
+    1,
+    0,
+    { { ASK, 0, 1, 0, PASSES },
+      { ASK, 0, 2, 0, PASSES },
+      { ASK, 950, 3, 950, PASSES }, /* a probe */
+      { ASK, 999, 4, 999, WAITS },
+      { NEXT, 999, 0, 0, 0 },
+      { NEXT, 1000, 0, 0, 4 },
+      { ASK, 1000, 5, 1000, WAITS } } },
+  { "a probe passes when nothing else does",
+    LC_FLOW_GATE_NEWEST_FIRST,
+    1,
+    0,
+    { { ASK, 0, 1, 0, PASSES },
+      { ASK, 0, 2, 0, PASSES },
+      { ASK, 100, 3, 100, WAITS },
+      { ASK, 100, 4, 100, WAITS },
+      { NEXT, 199, 0, 0, 0 },
+      { NEXT, 200, 0, 0, 4 },
+      { NEXT, 200, 0, 0, 0 },
+      { NEXT, 400, 0, 0, 3 } } },
+  { "too many wait",
+    LC_FLOW_GATE_NEWEST_FIRST,
+    1,
+    1,
+    { { ASK, 0, 1, 0, PASSES },
+      { ASK, 0, 2, 0, PASSES },
+      { ASK, 0, 3, 0, WAITS },
+      { ASK, 0, 4, 0, PASSES },
+      { NEXT, 0, 0, 0, 0 } } },
+  { "its caller is gone",
+    LC_FLOW_GATE_NEWEST_FIRST,
+    1,
+    0,
+    { { ASK, 0, 1, 0, PASSES },
+      { ASK, 0, 2, 0, PASSES },
+      { ASK, 10, 3, -590, WAITS },
+      { GIVE_UP, 1409, 0, 0, 0 },
+      { GIVE_UP, 1410, 0, 0, 3 },
+      { GIVE_UP, 1410, 0, 0, 0 } } },
+};
+
+static uint32_t
+take_step (LcFlowGate *gate, const Step *s)
+{
+  int64_t now_us = s->at_ms * MS;
+  uint32_t flow = 0;
+
+  switch (s->kind)
+    {
+    case ASK:
+      return lc_flow_gate_request (gate, s->flow, s->began_ms * MS, now_us);
+    case NEXT:
+      return lc_flow_gate_next (gate, now_us, &flow) ? flow : 0;
+    case GIVE_UP:
+      return lc_flow_gate_give_up (gate, now_us, &flow) ? flow : 0;
+    case END:
+      lc_flow_gate_end (gate, s->flow);
+      return 0;
+    case END_OF_STEPS:
+      break;
+    }
+  return 0;
+}
+
+START_TEST (test_steps)
+{
+  const Case *c = &CASES[_i];
+  LcFlowGateDesc desc = { .order = c->order, .max_waiting = c->max_waiting };
+  LcFlowGate gate;
+
+  lc_flow_gate_init (&gate, &desc);
+  lc_flow_gate_set_slots (&gate, c->slots);
+  for (int i = 0; i < N_STEPS && c->steps[i].kind != END_OF_STEPS; i++)
+    {
+      uint32_t got = take_step (&gate, &c->steps[i]);
+
+      ck_assert_msg (got == c->steps[i].expected, "%s: step %d: %u", c->what, i + 1, got);
+    }
+  lc_flow_gate_finish (&gate);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("flow-gate");
+  TCase *tcase = tcase_create ("gate");
+
+  tcase_add_loop_test (tcase, test_steps, 0, (int)(sizeof CASES / sizeof CASES[0]));
+  suite_add_tcase (suite, tcase);
+  return lc_fake_run (suite);
+}
