Agents go on from control VMs that stand by, and ask a backend server that has not reported yet

Cause: after a kill of all, agents whose seeds are control VMs that stand by waited 300 ms at each before they left it; and an agent that had started again gave its running backend server nothing until the next report (1.2 s apart), so first packets were reset with the reason limit although nobody was full.

Now a control VM that belongs to no cluster and knows who does says so, also when it learns it later, and members without a view go on at once. A backend server of which nothing was reported yet is asked for 1.25 intervals, if the view names it and not as leaving: it returns what it can't take. Past that it counts as closed, as before; what drains is refused in all cases. A report of a start that the view named, which comes after another start has reported itself, is late also at an agent that knew neither.

Ruled out: a shorter wait at upstreams without a view (it would leave members that get one). Tests: member-links test_all_seeds_stand_by, adapter-report test_nothing_reported_yet and test_report_of_an_earlier_start.

--- a/proto/lc-member.pb-c.c
+++ b/proto/lc-member.pb-c.c
@@ -939,7 +939,7 @@
   (ProtobufCMessageInit) lc__wire__member_renew__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__member_status__field_descriptors[6] =
+static const ProtobufCFieldDescriptor lc__wire__member_status__field_descriptors[7] =
 {
   {
     "revision",
@@ -1013,6 +1013,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stands_by",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__MemberStatus, stands_by),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__member_status__field_indices_by_name[] = {
   5,   /* field[5] = control */
@@ -1021,11 +1033,12 @@
   1,   /* field[1] = is_leader */
   2,   /* field[2] = needs_hello */
   0,   /* field[0] = revision */
+  6,   /* field[6] = stands_by */
 };
 static const ProtobufCIntRange lc__wire__member_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lc__wire__member_status__descriptor =
 {
@@ -1035,7 +1048,7 @@
   "Lc__Wire__MemberStatus",
   "lc.wire",
   sizeof(Lc__Wire__MemberStatus),
-  6,
+  7,
   lc__wire__member_status__field_descriptors,
   lc__wire__member_status__field_indices_by_name,
   1,  lc__wire__member_status__number_ranges,
--- a/proto/lc-member.pb-c.h
+++ b/proto/lc-member.pb-c.h
@@ -161,10 +161,14 @@
    */
   size_t n_control;
   uint64_t *control;
+  /*
+   * control only: belongs to no cluster, so it has no view to give; `control` does
+   */
+  protobuf_c_boolean stands_by;
 };
 #define LC__WIRE__MEMBER_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__member_status__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Lc__Wire__MemberReport
--- a/src/agent/lc-agent-report.c
+++ b/src/agent/lc-agent-report.c
@@ -105,7 +105,7 @@
 
   memset (self, 0, sizeof *self);
   self->desc = *desc;
-  lc_backend_status_init (&self->status, &status);
+  lc_backend_status_init (&self->status, &status, lc_clock_now_us ());
   if (desc->settings->report_port == 0)
     return 0;
   self->reports_total =
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -75,10 +75,15 @@
 static void
 lc_agent__note_backend (LcAgentProgram *p)
 {
+  const LcEndpoint *e = lc_member_endpoint (&p->member);
+  int64_t now_us = lc_clock_now_us ();
+
   if (lc_agent__is_reported (p))
     lc_agent_flow_set_backend (
-        &p->flow,
-        p->stop_us == 0 && lc_backend_status_is_open (&p->report.status, lc_clock_now_us ()));
+        &p->flow, p->stop_us == 0 &&
+                      (lc_backend_status_is_open (&p->report.status, now_us) ||
+                       lc_backend_status_may_ask (
+                           &p->report.status, e != NULL && lc_endpoint_is_candidate (e), now_us)));
 }
 
 static void
@@ -115,8 +120,9 @@
 {
   LcAgentProgram *p = user;
 
-  if (lc_agent__is_reported (p))
-    (void)lc_member_resume (&p->member);
+  if (lc_agent__is_reported (p) && lc_member_resume (&p->member))
+    lc_backend_status_note_named (&p->report.status, lc_member_instance (&p->member));
+  lc_agent__note_backend (p);
   lc_agent_flow_view (&p->flow, view, ops, n_ops, is_reset);
   if (p->settings.has_requests)
     lc_agent_request_view (&p->request, view, ops, n_ops, is_reset);
--- a/src/control/lc-distributor.c
+++ b/src/control/lc-distributor.c
@@ -147,6 +147,7 @@
   status.is_leader = d->desc.is_leader (d->desc.user);
   status.needs_hello = needs_hello;
   status.is_confirmed = age_us >= 0;
+  status.stands_by = d->desc.stands_by != NULL && d->desc.stands_by (d->desc.user);
   status.control_age_ms = age_us >= 0 ? (uint64_t)(age_us / LC_US_PER_MS) : UINT32_MAX;
   lc_view_server_greeted (&d->server, link);
   (void)lc_link_send (link, LC_FRAME_MEMBER_STATUS, &status.base);
@@ -458,6 +459,12 @@
   lc_view_server_reset (&d->server);
 }
 
+void
+lc_distributor_tell_waiting (LcDistributor *d)
+{
+  lc_view_server_tell_waiting (&d->server);
+}
+
 /* === public: frames ========================================================================= */
 
 void
--- a/src/control/lc-distributor.h
+++ b/src/control/lc-distributor.h
@@ -38,6 +38,9 @@
    * it never did.  NULL: 0 on the leader, and on a follower the time since it last was one or
    * started (so subscribers see that nobody vouches).  */
   int64_t (*leader_age_us) (void *user);
+  /* Whether this VM belongs to no cluster, and knows who does: members go on to those.  NULL: no.
+   */
+  bool (*stands_by) (void *user);
   /* Where the control VMs are; returns how many.  NULL: nobody is told. */
   uint32_t (*control) (void *user, LcSocketAddress *out, uint32_t max);
 } LcDistributorDesc;
@@ -70,6 +73,8 @@
 void lc_distributor_publish (LcDistributor *distributor, const LcViewOp *ops, size_t n_ops);
 /* The view was replaced by a snapshot: subscribers get one too. */
 void lc_distributor_reset (LcDistributor *distributor);
+/* What this VM says of itself has changed: members that wait for a view hear it now. */
+void lc_distributor_tell_waiting (LcDistributor *distributor);
 void lc_distributor_frame (LcDistributor *distributor, LcLink *link, const LcFrame *frame);
 void lc_distributor_link_down (LcDistributor *distributor, LcLink *link);
 /* Fills `out` (room for `max`) and returns how many data centres there are. */
--- a/src/control/lc-replica-standby.c
+++ b/src/control/lc-replica-standby.c
@@ -60,13 +60,18 @@
 void
 lc_replica__learn (LcReplica *replica, const LcReplicaPeer *peer, const LcReplicaLearned *learned)
 {
+  bool is_other;
+
   if (lc_replica__is_left_out (replica, peer, learned))
     replica->is_removed = true;
   if (replica->is_formed || learned->members_index == 0 ||
       learned->members_index < replica->learned.members_index)
     return;
+  is_other = learned->members_index != replica->learned.members_index;
   replica->learned = *learned;
   lc_replica__link_learned (replica); /* each is greeted when its link is up */
+  if (is_other)
+    replica->desc.learned (replica->desc.user);
 }
 
 bool
@@ -158,6 +163,12 @@
 
 /* === public ================================================================================= */
 
+bool
+lc_replica_stands_by (const LcReplica *replica)
+{
+  return !replica->is_formed && replica->learned.members.n_members > 0;
+}
+
 const LcReplicaPeer *
 lc_replica_route (const LcReplica *replica)
 {
--- a/src/control/lc-replica.h
+++ b/src/control/lc-replica.h
@@ -57,6 +57,8 @@
   void *user;
   /* `is_reset`: the state was replaced by a snapshot, `ops` is empty. */
   void (*applied) (void *user, const LcViewOp *ops, size_t n_ops, bool is_reset);
+  /* A VM that stands by has learned of other members than before. */
+  void (*learned) (void *user);
 } LcReplicaDesc;
 
 typedef struct LcReplica LcReplica;
@@ -158,6 +160,8 @@
 bool lc_replica_can_read (LcReplica *replica);
 /* The leader as a member, or NULL. */
 const LcRaftMember *lc_replica_leader (const LcReplica *replica);
+/* It belongs to no cluster, and knows who does. */
+bool lc_replica_stands_by (const LcReplica *replica);
 /* While it belongs to no cluster: a VM that does and answered lately, best the leader, or NULL. */
 const LcReplicaPeer *lc_replica_route (const LcReplica *replica);
 /* The members' addresses, as far as this VM knows them; returns how many of `max`. */
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -90,6 +90,23 @@
   return lc_replica_silence_us (&p->replica);
 }
 
+static void
+lc_control__on_learned (void *user)
+{
+  LcControlProgram *p = user;
+
+  if (p->distributor != NULL)
+    lc_distributor_tell_waiting (p->distributor);
+}
+
+static bool
+lc_control__stands_by (void *user)
+{
+  LcControlProgram *p = user;
+
+  return lc_replica_stands_by (&p->replica);
+}
+
 static uint32_t
 lc_control__addresses (void *user, LcSocketAddress *out, uint32_t max)
 {
@@ -143,7 +160,8 @@
 static int
 lc_control__start_replica (LcControlProgram *p, LcError *error)
 {
-  LcReplicaDesc replica = { &p->app, &p->settings, p, lc_control__on_applied };
+  LcReplicaDesc replica = { &p->app, &p->settings, p, lc_control__on_applied,
+                            lc_control__on_learned };
   LcControlHttpDesc http = { &p->app, &p->settings, &p->replica, &p->distributor };
   LcDistributorDesc distributor = { .app = &p->app,
                                     .view = &p->replica.state.view,
@@ -152,6 +170,7 @@
                                     .propose = lc_control__propose,
                                     .is_leader = lc_control__is_leader,
                                     .leader_age_us = lc_control__leader_age_us,
+                                    .stands_by = lc_control__stands_by,
                                     .control = lc_control__addresses };
   int r = lc_control_http_init (&p->http, &http, error);
 
--- a/src/controller/lc-member-choose.c
+++ b/src/controller/lc-member-choose.c
@@ -107,14 +107,15 @@
   return slot->is_open && now_us - last_us > lc_member__silent_us (slot->member);
 }
 
-/* It answers and has no view to give: a control VM that stands by.  All are like that for a moment
- * after a start of all, so it is left only for a short while, and only by who has no view. */
+/* It answers and has no view to give.  All are like that for a moment after a start of all, so it
+ * is left only after a short while, unless it says that it stands by, and only by who has no view.
+ */
 static bool
 lc_member__is_empty (const LcMemberSlot *slot, int64_t now_us)
 {
   return slot->is_open && slot->is_known && slot->revision == 0 &&
          slot->member->sync.view.revision == 0 &&
-         now_us - slot->opened_us >= LC_MEMBER_EMPTY_MS * LC_US_PER_MS;
+         (slot->stands_by || now_us - slot->opened_us >= LC_MEMBER_EMPTY_MS * LC_US_PER_MS);
 }
 
 static bool
--- a/src/controller/lc-member-upstream.c
+++ b/src/controller/lc-member-upstream.c
@@ -351,11 +351,13 @@
 
   if (status == NULL)
     return;
-  if (!slot->is_known || (status->revision > 0 && member->sync.view.revision == 0))
+  if (!slot->is_known ||
+      (member->sync.view.revision == 0 && (status->revision > 0 || status->stands_by)))
     lc_member__tick_soon (member);
   slot->is_known = true;
   slot->revision = status->revision;
   slot->is_leader = status->is_leader;
+  slot->stands_by = status->stands_by;
   slot->is_confirmed = status->is_confirmed;
   /* What upstream vouches for is its own revision: older knowledge says nothing of ours. */
   if (status->is_confirmed && status->revision >= member->sync.view.revision)
@@ -419,6 +421,7 @@
   int64_t now_us = lc_clock_now_us ();
 
   slot->is_known = false;
+  slot->stands_by = false;
   slot->is_subscribed = false;
   slot->heard_us = 0;
   slot->opened_us = now_us;
--- a/src/controller/lc-member.h
+++ b/src/controller/lc-member.h
@@ -86,6 +86,7 @@
   bool is_subscribed;
   bool is_leader;      /* of control */
   bool is_confirmed;   /* its view came from control */
+  bool stands_by;      /* control: it has no view to give, and named those that do */
   LcRevision revision; /* of its view, as it said last */
   int64_t opened_us;   /* retargeted or link up */
   int64_t heard_us;    /* last frame; 0: none since opened */
--- a/src/controller/lc-view-server.c
+++ b/src/controller/lc-view-server.c
@@ -379,13 +379,13 @@
     (void)g_hash_table_add (server->unserved, link);
 }
 
-static void
-lc_view_server__tell_unserved (LcViewServer *server)
+void
+lc_view_server_tell_waiting (LcViewServer *server)
 {
   gpointer *links;
   guint n;
 
-  if (server->desc.view->revision == 0 || g_hash_table_size (server->unserved) == 0)
+  if (g_hash_table_size (server->unserved) == 0)
     return;
   links = g_hash_table_get_keys_as_array (server->unserved, &n);
   g_hash_table_remove_all (server->unserved);
@@ -395,13 +395,20 @@
   g_free (links);
 }
 
+static void
+lc_view_server__tell_first_view (LcViewServer *server)
+{
+  if (server->desc.view->revision > 0)
+    lc_view_server_tell_waiting (server);
+}
+
 void
 lc_view_server_publish (LcViewServer *server, const LcViewOp *ops, size_t n_ops)
 {
   for (size_t i = 0; i < n_ops; i++)
     (void)lc_op_log_append (&server->log, &ops[i]);
   lc_view_server__arm (server);
-  lc_view_server__tell_unserved (server);
+  lc_view_server__tell_first_view (server);
 }
 
 void
@@ -418,7 +425,7 @@
     lc_snapshot_cache__release (server->cache);
   server->cache = NULL;
   lc_view_server__arm (server);
-  lc_view_server__tell_unserved (server);
+  lc_view_server__tell_first_view (server);
 }
 
 void
--- a/src/controller/lc-view-server.h
+++ b/src/controller/lc-view-server.h
@@ -36,8 +36,9 @@
   uint32_t max_snapshots; /* 0: 16 */
   size_t max_ops;         /* of the history; 0: see lc-op-log */
   void *user;
-  /* There is a view now, and this link was greeted before: a member that waits for a view, here or
-   * elsewhere, hears of it at once, not with its next renewal a second later.  May be NULL. */
+  /* There is a view now, or other news, and this link was greeted before: a member that waits for a
+   * view hears at once what it may expect here, not with its next renewal a second later.  May be
+   * NULL. */
   void (*first_view) (void *user, LcLink *link);
 } LcViewServerDesc;
 
@@ -73,6 +74,8 @@
 void lc_view_server_reset (LcViewServer *server);
 /* A member on this link was told which revision is served here. */
 void lc_view_server_greeted (LcViewServer *server, LcLink *link);
+/* Calls `first_view` now for each link that was greeted while there was no view. */
+void lc_view_server_tell_waiting (LcViewServer *server);
 void lc_view_server_link_down (LcViewServer *server, LcLink *link);
 
 #endif /* LC_VIEW_SERVER_H */
--- a/src/core/flow/lc-flow-gate.h
+++ b/src/core/flow/lc-flow-gate.h
@@ -81,9 +81,9 @@
   typedef struct
   {
     LcFlowGateDesc desc;
-    uint32_t slots;  /* of the backend server; 0: not known, nothing waits */
-    GArray *working; /* LcFlowGateRequest, the oldest first */
-    GArray *waiting; /* LcFlowGateRequest */
+    uint32_t slots;   /* of the backend server; 0: not known, nothing waits */
+    GArray *working;  /* LcFlowGateRequest, the oldest first */
+    GArray *waiting;  /* LcFlowGateRequest */
     int64_t moved_us; /* when a request last passed */
     uint64_t waited_total;
     uint64_t given_up_total;
--- a/src/core/member/lc-backend-status.h
+++ b/src/core/member/lc-backend-status.h
@@ -7,9 +7,10 @@
  * the newest word and says what a report changed.
  *
  * HOW TO USE IT
- *     lc_backend_status_init (&status, &desc);
+ *     lc_backend_status_init (&status, &desc, now_us);
  *     switch (lc_backend_status_take (&status, &report, now_us)) ...
- *     if (lc_backend_status_is_open (&status, now_us))
+ *     if (lc_backend_status_is_open (&status, now_us) ||
+ *         lc_backend_status_may_ask (&status, is_candidate, now_us))
  *       it may be given a new flow
  *
  * LIFETIME
@@ -68,18 +69,29 @@
   typedef struct
   {
     LcBackendStatusDesc desc;
+    int64_t started_us;
     LcBackendReport newest;
-    char earlier[LC_BACKEND_EARLIER_MAX][LC_NAME_MAX]; /* newest first */
+    LcInstance earlier[LC_BACKEND_EARLIER_MAX]; /* newest first; 0: none */
+    LcInstance named;                           /* by the view, before anything was reported */
     int64_t heard_us;
     int64_t warm_at_us; /* no longer slow from then on */
   } LcBackendStatus;
 
-  void lc_backend_status_init (LcBackendStatus *status, const LcBackendStatusDesc *desc);
+  void
+  lc_backend_status_init (LcBackendStatus *status, const LcBackendStatusDesc *desc, int64_t now_us);
+  /* The view names this start of the backend server.  If another one reports itself first, a report
+   * of this one that comes later, held up on its way, is late. */
+  void lc_backend_status_note_named (LcBackendStatus *status, LcInstance instance);
   LcBackendNews
   lc_backend_status_take (LcBackendStatus *status, const LcBackendReport *report, int64_t now_us);
   /* Whether it may be given new flows: it is ready, and was heard within two and a half intervals.
    */
   bool lc_backend_status_is_open (const LcBackendStatus *status, int64_t now_us);
+  /* Whether a backend server of which nothing was reported yet may be asked: after a restart of the
+   * process beside it, it is more likely there than not, it says by itself what it can't take, and
+   * it reports itself within an interval.  `is_candidate`: the view names it, and not as leaving.
+   */
+  bool lc_backend_status_may_ask (const LcBackendStatus *status, bool is_candidate, int64_t now_us);
   /* Names this start of the backend server; 0: none was reported. */
   LcInstance lc_backend_status_instance (const LcBackendStatus *status);
 
--- a/tests/adapter/test-report.c
+++ b/tests/adapter/test-report.c
@@ -131,7 +131,7 @@
   LcBackendStatusDesc desc = { 0 };
   LcBackendStatus status;
 
-  lc_backend_status_init (&status, &desc);
+  lc_backend_status_init (&status, &desc, 0);
   for (int i = 0; i < 6 && c->steps[i].id != NULL; i++)
     {
       LcBackendReport report = { .state = c->steps[i].state, .sequence = c->steps[i].sequence };
@@ -155,7 +155,7 @@
   LcBackendReport report = { .id = "a", .state = LC_BACKEND_READY, .sequence = 1 };
   LcBackendStatus status;
 
-  lc_backend_status_init (&status, &desc);
+  lc_backend_status_init (&status, &desc, 0);
   ck_assert (!lc_backend_status_is_open (&status, 0));
   ck_assert_uint_eq (lc_backend_status_instance (&status), 0);
   (void)lc_backend_status_take (&status, &report, 0);
@@ -165,6 +165,74 @@
 }
 END_TEST
 
+/* An agent that has started again beside a backend server that goes on: until its first report it
+ * is asked, unless the view says that it leaves, and not for ever. */
+START_TEST (test_nothing_reported_yet)
+{
+  static const struct
+  {
+    const char *what;
+    bool is_candidate;
+    int64_t after_us;
+    bool has_reported;
+    bool may_ask;
+  } CASES[] = {
+    { "right after the start", true, 0, false, true },
+    { "an interval after the start", true, 1200000, false, true },
+    { "its report has failed to come", true, 1500001, false, false },
+    { "the view says that it leaves", false, 0, false, false },
+    { "it has reported itself: its own word counts", true, 100000, true, false },
+  };
+  LcBackendReport report = { .id = "a", .state = LC_BACKEND_DRAINING, .sequence = 1 };
+
+  for (size_t i = 0; i < sizeof CASES / sizeof CASES[0]; i++)
+    {
+      LcBackendStatusDesc desc = { 0 };
+      LcBackendStatus status;
+
+      lc_backend_status_init (&status, &desc, 7000);
+      if (CASES[i].has_reported)
+        (void)lc_backend_status_take (&status, &report, 7000);
+      ck_assert_msg (lc_backend_status_may_ask (&status, CASES[i].is_candidate,
+                                                7000 + CASES[i].after_us) == CASES[i].may_ask,
+                     "%s", CASES[i].what);
+    }
+}
+END_TEST
+
+/* The agent has started again, and a report of an earlier start of its backend server, held up on
+ * its way, comes after that of the present one. */
+START_TEST (test_report_of_an_earlier_start)
+{
+  static const char *const IDS[] = { "old", "new" };
+  LcBackendStatusDesc desc = { 0 };
+  LcBackendReport report = { .state = LC_BACKEND_READY, .sequence = 90 };
+  LcBackendStatus status;
+  LcInstance instances[2];
+
+  for (int i = 0; i < 2; i++)
+    {
+      lc_backend_status_init (&status, &desc, 0);
+      (void)strcpy (report.id, IDS[i]);
+      (void)lc_backend_status_take (&status, &report, 0);
+      instances[i] = lc_backend_status_instance (&status);
+    }
+  lc_backend_status_init (&status, &desc, 0);
+  lc_backend_status_note_named (&status, instances[0]);
+  (void)strcpy (report.id, "new");
+  ck_assert_int_eq (lc_backend_status_take (&status, &report, 10), LC_BACKEND_STARTED);
+  (void)strcpy (report.id, "old");
+  ck_assert_int_eq (lc_backend_status_take (&status, &report, 20), LC_BACKEND_LATE);
+  ck_assert_uint_eq (lc_backend_status_instance (&status), instances[1]);
+  /* The one that the view names is no other when it reports itself. */
+  lc_backend_status_init (&status, &desc, 0);
+  lc_backend_status_note_named (&status, instances[0]);
+  ck_assert_int_eq (lc_backend_status_take (&status, &report, 10), LC_BACKEND_STARTED);
+  report.sequence++;
+  ck_assert_int_eq (lc_backend_status_take (&status, &report, 20), LC_BACKEND_SAME);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -174,6 +242,8 @@
   tcase_add_loop_test (tcase, test_read, 0, (int)(sizeof READ / sizeof READ[0]));
   tcase_add_loop_test (tcase, test_orders, 0, (int)(sizeof ORDERS / sizeof ORDERS[0]));
   tcase_add_test (tcase, test_silence);
+  tcase_add_test (tcase, test_nothing_reported_yet);
+  tcase_add_test (tcase, test_report_of_an_earlier_start);
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
 }
--- a/tests/flow/prop-flow-work.cc
+++ b/tests/flow/prop-flow-work.cc
@@ -61,8 +61,8 @@
   LcView view;
   LcFlowAgent agent;
   int64_t now_us = 1000 * LC_US_PER_S;
-  uint32_t sent[N_FLOWS] = {};     /* bytes of requests, a flow */
-  uint32_t answered[N_FLOWS] = {}; /* of them */
+  uint32_t sent[N_FLOWS] = {};      /* bytes of requests, a flow */
+  uint32_t answered[N_FLOWS] = {};  /* of them */
   std::map<uint32_t, int64_t> open; /* flows with a request that has no answer, since when */
   std::set<uint32_t> held;          /* table entries with packets that were held */
 
--- a/tests/member/fake-control.c
+++ b/tests/member/fake-control.c
@@ -122,6 +122,23 @@
   return ((FakeControl *)user)->leader == NULL;
 }
 
+static bool
+stands_by (void *user)
+{
+  return ((FakeControl *)user)->stands_by_for != NULL;
+}
+
+static uint32_t
+named_control (void *user, LcSocketAddress *out, uint32_t max)
+{
+  FakeControl *c = user;
+
+  if (c->stands_by_for == NULL || max == 0)
+    return 0;
+  out[0] = fake_control_address (c->stands_by_for);
+  return 1;
+}
+
 /* === links ================================================================================== */
 
 static void
@@ -153,7 +170,9 @@
                              .lease_ms = fake_lease_ms,
                              .user = c,
                              .propose = propose,
-                             .is_leader = is_leader };
+                             .is_leader = is_leader,
+                             .stands_by = stands_by,
+                             .control = named_control };
   LcError error = { 0 };
 
   (void)signal (SIGPIPE, SIG_IGN); /* as lc-app does */
--- a/tests/member/fake-control.h
+++ b/tests/member/fake-control.h
@@ -25,6 +25,8 @@
   uint32_t n_followers;
   bool is_cut;
   bool is_lagging; /* a follower that gets nothing new */
+  FakeControl
+      *stands_by_for; /* belongs to no cluster, and names this one; NULL: it belongs to one */
   uint32_t next_id;
   uint64_t n_proposals;
   uint64_t n_changes; /* proposals that changed something */
--- a/tests/member/test-member-links.c
+++ b/tests/member/test-member-links.c
@@ -839,6 +839,43 @@
 }
 END_TEST
 
+/* All that an agent knows are control VMs that stand by; they learn of the members only later. */
+START_TEST (test_all_seeds_stand_by)
+{
+  static Standby s;
+  World *w = &world;
+  LcSocketAddress seeds[2];
+  bool is_done;
+
+  memset (&s, 0, sizeof s);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      fake_control_init (&s.blank[i], w->loop, ADDRESS (70 + i), NULL);
+      seeds[i] = fake_control_address (&s.blank[i]);
+    }
+  for (uint32_t i = 0; i < N_LOST_AGENTS; i++)
+    {
+      char name[LC_NAME_MAX];
+
+      (void)g_snprintf (name, sizeof name, "late-%u", i);
+      fake_node_agent (&s.agents[i], w->loop, name, ADDRESS (80 + i), "hall-atl", "order-desk",
+                       seeds, 2);
+    }
+  fake_run_for (w->loop, 50);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      s.blank[i].stands_by_for = &w->control[0];
+      lc_distributor_tell_waiting (s.blank[i].distributor);
+    }
+  is_done = fake_run_until (w->loop, have_views, &s, PATIENCE_MS);
+  for (uint32_t i = 0; i < N_LOST_AGENTS; i++)
+    fake_node_kill (&s.agents[i]);
+  for (uint32_t i = 0; i < 2; i++)
+    fake_control_finish (&s.blank[i]);
+  ck_assert (is_done);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -860,6 +897,7 @@
   tcase_add_test (tc, test_relays);
   tcase_add_test (tc, test_bad_frames_are_counted);
   tcase_add_test (tc, test_seeds_that_stand_by);
+  tcase_add_test (tc, test_all_seeds_stand_by);
   suite_add_tcase (suite, tc);
   tc = tcase_create ("feed");
   tcase_set_timeout (tc, 60);
