Links: silence is noticed by pings, and closed after 2.5 s

Cause: connections may fall silent for good without a reset while new ones work; only bytes of our own that nobody acknowledged for 10 s were noticed, longer than a member of the core may be missed (4 s).

A client that neither spoke nor heard for a second pings; nothing heard for 2.5 s closes the link (a server waits a second longer), and the client connects anew. Tests: test-link, a peer that accepts and never speaks, one that connects and never speaks, an idle link that stays; all three time out or fail on the code before. Not covered: the request plane's connections to backend servers (h2o's client), which have deadlines a request.

--- a/src/io/lc-frame.c
+++ b/src/io/lc-frame.c
@@ -12,6 +12,13 @@
   return (lc_frame__u16 (p) << 16) | lc_frame__u16 (p + 2);
 }
 
+static bool
+lc_frame__is_type (uint16_t type)
+{
+  return type == LC_FRAME_LINK_PING || type == LC_FRAME_LINK_PONG ||
+         (type >= LC_FRAME_MEMBER_FIRST && type < LC_FRAME_TYPE_END);
+}
+
 static int
 lc_frame__check (const uint8_t *bytes, LcError *error)
 {
@@ -25,8 +32,7 @@
   if (bytes[2] != LC_FRAME_VERSION)
     return lc_error_set (error, LC_ERR_VERSION, "run the same major version on both sides",
                          "frame version %u is unknown, expected %d", bytes[2], LC_FRAME_VERSION);
-  if (type < LC_FRAME_MEMBER_FIRST || type >= LC_FRAME_TYPE_END || bytes[3] != 0 ||
-      lc_frame__u16 (bytes + 6) != 0)
+  if (!lc_frame__is_type (type) || bytes[3] != 0 || lc_frame__u16 (bytes + 6) != 0)
     return lc_error_set (error, LC_ERR_CORRUPT, "run the same major version on both sides",
                          "frame type %u with flags %u is unknown", type, bytes[3]);
   if (len > LC_FRAME_PAYLOAD_MAX)
--- a/src/io/lc-frame.h
+++ b/src/io/lc-frame.h
@@ -39,6 +39,8 @@
   /* Types are grouped by plane, a hundred each; each plane's header names its own. */
   typedef enum
   {
+    LC_FRAME_LINK_PING = 10, /* of the link itself (lc-link.h), without payload: asks for a pong */
+    LC_FRAME_LINK_PONG = 11,
     LC_FRAME_MEMBER_FIRST = 100,  /* membership and distribution: lc-member-frames.h */
     LC_FRAME_CONTROL_FIRST = 200, /* replicated log: lc-control-frames.h */
     LC_FRAME_FLOW_FIRST = 300,    /* pointers and loads: lc-flow-frames.h */
--- a/src/io/lc-link.c
+++ b/src/io/lc-link.c
@@ -1,10 +1,9 @@
-#include "lc-link.h"
+#include "lc-link-private.h"
 
 #include "lc-clock.h"
 #include "lc-listen.h"
 #include "lc-log.h"
 
-#include <errno.h>
 #include <glib.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -14,38 +13,17 @@
 {
   LC_LINK_MAX_LINKS = 4096,
   LC_LINK_BACKLOG_BYTES = 8 << 20,
-  LC_LINK_BACKOFF_MIN_MS = 50,
-  LC_LINK_BACKOFF_MAX_MS = 2000,
-  LC_LINK_CONNECT_TIMEOUT_MS = 1000,
   LC_LINK_USER_TIMEOUT_MS = 10000,
   LC_LINK_MALFORMED_LOGS_PER_S = 2,
-};
 
-struct LcLink
-{
-  h2o_socket_t *socket; /* NULL once closed */
-  LcLinkHandler handler;
-  LcLinkServer *server; /* NULL for a client's link */
-  LcLinkClient *client; /* NULL for a server's link */
-  LcLink *next;         /* server's list */
-  LcLink **previous;
-  GByteArray *unsent;  /* filled while `writing` is under way */
-  GByteArray *writing; /* owned by h2o until the write completes */
-  uint64_t *malformed_total;
-  uint64_t id;
-  uint64_t bytes_total;
-  uint32_t max_backlog_bytes;
-  bool is_busy; /* a callback of this link is running: closing waits for its end */
-  bool is_writing;
-  bool is_closing;
-  char why[96];
-  void *peer;
+  /* A link that fell silent must be replaced before the leases that are renewed over it end (3 s)
+   * and before a cluster has missed a member for long (4 s is what platforms allow). */
+  LC_LINK_KEEP_ALIVE_MS = 1000,
+  LC_LINK_SILENT_MS = 2500, /* two pings and half a period */
 };
 
 /* === private: teardown ====================================================================== */
 
-static void lc_link_client__schedule (LcLinkClient *client);
-
 static void
 lc_link__unlist (LcLink *link)
 {
@@ -71,6 +49,7 @@
 {
   LcLinkClient *client = link->client;
 
+  lc_timer_finish (&link->keep_alive);
   h2o_socket_close (link->socket);
   link->socket = NULL;
   lc_link__unlist (link);
@@ -133,6 +112,7 @@
   link->unsent = link->writing;
   link->writing = full;
   link->is_writing = true;
+  link->spoke_us = lc_clock_now_us ();
   link->bytes_total += full->len;
   buffer = h2o_iovec_init (full->data, full->len);
   h2o_socket_write (link->socket, &buffer, 1, lc_link__on_written);
@@ -152,6 +132,15 @@
              LC_STR (error->remedy));
 }
 
+/* Frames of the link itself; false: the frame is for its owner. */
+static bool
+lc_link__take_own (LcLink *link, const LcFrame *frame)
+{
+  if (frame->type == LC_FRAME_LINK_PING)
+    (void)lc_link_send_bytes (link, LC_FRAME_LINK_PONG, NULL, 0);
+  return frame->type == LC_FRAME_LINK_PING || frame->type == LC_FRAME_LINK_PONG;
+}
+
 static void
 lc_link__on_read (h2o_socket_t *socket, const char *err)
 {
@@ -159,6 +148,7 @@
   LcError error = { 0 };
   bool was_busy = lc_link__enter (link);
 
+  link->heard_us = lc_clock_now_us ();
   if (err != NULL)
     lc_link_close (link, err);
   /* Only a link that is not busy is freed.  NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
@@ -177,7 +167,8 @@
           break;
         }
       link->bytes_total += (uint64_t)n;
-      link->handler.frame (link->handler.user, link, &frame);
+      if (!lc_link__take_own (link, &frame))
+        link->handler.frame (link->handler.user, link, &frame);
       if (!link->is_closing)
         h2o_buffer_consume (&socket->input, (size_t)n);
     }
@@ -195,8 +186,56 @@
   (void)setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof user_timeout_ms);
 }
 
-static LcLink *
-lc_link__new (h2o_socket_t *socket, const LcLinkHandler *handler, uint32_t max_backlog_bytes)
+/* === private: keep-alive ==================================================================== */
+
+static int64_t
+lc_link__silent_us (const LcLink *link)
+{
+  /* A client pings when it has not spoken for a period; a server waits for that one period longer.
+   */
+  int64_t patience_ms = link->pace.silent_ms + (link->server != NULL ? link->pace.period_ms : 0);
+
+  return patience_ms * LC_US_PER_MS;
+}
+
+/* This process may have stood still itself: what its peer sent meanwhile is not read yet. */
+static void
+lc_link__excuse_pause (LcLink *link, int64_t now_us)
+{
+  if (now_us - link->looked_us >= 2 * (int64_t)link->pace.period_ms * LC_US_PER_MS)
+    link->heard_us = MAX (link->heard_us, now_us - link->pace.period_ms * LC_US_PER_MS);
+  link->looked_us = now_us;
+}
+
+static void
+lc_link__on_keep_alive (void *user)
+{
+  LcLink *link = user;
+  int64_t now_us = lc_clock_now_us ();
+  int64_t period_us = (int64_t)link->pace.period_ms * LC_US_PER_MS;
+
+  lc_link__excuse_pause (link, now_us);
+  if (now_us - link->heard_us >= lc_link__silent_us (link))
+    {
+      LC_WARN ("link.silent", "silent_ms", LC_I64 ((now_us - link->heard_us) / LC_US_PER_MS),
+               "remedy", LC_STR ("none is needed: the connection is made anew"));
+      lc_link_close (link, "silent");
+      return;
+    }
+  lc_timer_start (&link->keep_alive, link->pace.period_ms);
+  if (link->client != NULL &&
+      (now_us - link->heard_us >= period_us || now_us - link->spoke_us >= period_us))
+    (void)lc_link_send_bytes (link, LC_FRAME_LINK_PING, NULL, 0);
+}
+
+/* === private: beginning ===================================================================== */
+
+LcLink *
+lc_link__new (h2o_socket_t *socket,
+              h2o_loop_t *loop,
+              const LcLinkHandler *handler,
+              uint32_t max_backlog_bytes,
+              const LcLinkKeepAlive *pace)
 {
   LcLink *link = g_new0 (LcLink, 1);
 
@@ -205,16 +244,23 @@
   link->max_backlog_bytes = max_backlog_bytes != 0 ? max_backlog_bytes : LC_LINK_BACKLOG_BYTES;
   link->unsent = g_byte_array_new ();
   link->writing = g_byte_array_new ();
+  link->pace.period_ms = pace->period_ms != 0 ? pace->period_ms : LC_LINK_KEEP_ALIVE_MS;
+  link->pace.silent_ms = pace->silent_ms != 0 ? pace->silent_ms : LC_LINK_SILENT_MS;
+  lc_timer_init (&link->keep_alive, loop, lc_link__on_keep_alive, link);
   socket->data = link;
   lc_link__set_options (h2o_socket_get_fd (socket));
   return link;
 }
 
-static void
+void
 lc_link__start (LcLink *link)
 {
   bool was_busy = lc_link__enter (link);
 
+  link->heard_us = lc_clock_now_us ();
+  link->spoke_us = link->heard_us;
+  link->looked_us = link->heard_us;
+  lc_timer_start (&link->keep_alive, link->pace.period_ms);
   if (link->handler.up != NULL)
     link->handler.up (link->handler.user, link);
   if (!link->is_closing)
@@ -235,7 +281,8 @@
     return LC_ERR_FULL;
   lc_frame_encode_header (header, type, (uint32_t)len);
   g_byte_array_append (link->unsent, header, sizeof header);
-  g_byte_array_append (link->unsent, payload, (guint)len);
+  if (len > 0)
+    g_byte_array_append (link->unsent, payload, (guint)len);
   lc_link__flush (link);
   return 0;
 }
@@ -314,7 +361,8 @@
       h2o_socket_close (socket);
       return;
     }
-  link = lc_link__new (socket, &server->desc.handler, server->desc.max_backlog_bytes);
+  link = lc_link__new (socket, server->desc.loop, &server->desc.handler,
+                       server->desc.max_backlog_bytes, &server->desc.keep_alive);
   link->server = server;
   link->malformed_total = &server->malformed_total;
   link->id = ++server->next_id;
@@ -389,172 +437,3 @@
       return link;
   return NULL;
 }
-
-/* === public: client ========================================================================= */
-
-static uint32_t
-lc_link_client__or (uint32_t value, uint32_t fallback)
-{
-  return value != 0 ? value : fallback;
-}
-
-/* Half of the back-off is fixed and half random, so that many clients that lost one server at the
- * same moment don't come back at the same moment. */
-static void
-lc_link_client__schedule (LcLinkClient *client)
-{
-  uint32_t max = lc_link_client__or (client->desc.backoff_max_ms, LC_LINK_BACKOFF_MAX_MS);
-  uint32_t half = client->backoff_ms / 2;
-  uint32_t wait_ms = half + (uint32_t)g_random_int_range (0, (gint32)half + 1);
-
-  client->backoff_ms = MIN (client->backoff_ms * 2, max);
-  lc_timer_start (&client->timer, wait_ms);
-}
-
-static void
-lc_link_client__on_connected (h2o_socket_t *socket, const char *err)
-{
-  LcLinkClient *client = socket->data;
-  LcLink *link;
-
-  client->connecting = NULL;
-  lc_timer_stop (&client->timer);
-  if (err != NULL)
-    {
-      h2o_socket_close (socket);
-      lc_link_client__schedule (client);
-      return;
-    }
-  link = lc_link__new (socket, &client->desc.handler, client->desc.max_backlog_bytes);
-  link->client = client;
-  link->malformed_total = &client->malformed_total;
-  link->id = ++client->next_id;
-  client->link = link;
-  client->connects_total++;
-  client->backoff_ms = lc_link_client__or (client->desc.backoff_min_ms, LC_LINK_BACKOFF_MIN_MS);
-  lc_link__start (link);
-}
-
-/* h2o_socket_connect can't bind a source address, so a client that must come from its own VM's
- * address makes the socket itself and waits for it to become writable. */
-static h2o_socket_t *
-lc_link_client__connect_from (LcLinkClient *client, const struct sockaddr_in *address)
-{
-  struct sockaddr_in source = { .sin_family = AF_INET,
-                                .sin_addr.s_addr = htonl (client->desc.source_ipv4) };
-  int on = 1;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-  h2o_socket_t *socket;
-
-  if (fd < 0)
-    return NULL;
-  (void)setsockopt (fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
-  if (bind (fd, (struct sockaddr *)&source, sizeof source) < 0 ||
-      (connect (fd, (const struct sockaddr *)address, sizeof *address) < 0 && errno != EINPROGRESS))
-    {
-      close (fd);
-      return NULL;
-    }
-  socket = h2o_evloop_socket_create (client->desc.loop, fd, H2O_SOCKET_FLAG_IS_CONNECTING);
-  h2o_socket_notify_write (socket, lc_link_client__on_connected);
-  return socket;
-}
-
-static void
-lc_link_client__connect (LcLinkClient *client)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET,
-                                 .sin_port = htons (client->desc.port),
-                                 .sin_addr.s_addr = htonl (client->desc.ipv4) };
-
-  client->connecting = lc_link_client__connect_from (client, &address);
-  if (client->connecting == NULL)
-    {
-      lc_link_client__schedule (client);
-      return;
-    }
-  client->connecting->data = client;
-  lc_timer_start (&client->timer,
-                  lc_link_client__or (client->desc.connect_timeout_ms, LC_LINK_CONNECT_TIMEOUT_MS));
-}
-
-/* The one timer bounds a connect that is under way, else it says when to try again. */
-static void
-lc_link_client__on_timer (void *user)
-{
-  LcLinkClient *client = user;
-
-  if (client->connecting == NULL)
-    {
-      lc_link_client__connect (client);
-      return;
-    }
-  h2o_socket_close (client->connecting);
-  client->connecting = NULL;
-  lc_link_client__schedule (client);
-}
-
-void
-lc_link_client_init (LcLinkClient *client, const LcLinkClientDesc *desc)
-{
-  memset (client, 0, sizeof *client);
-  client->desc = *desc;
-  client->backoff_ms = lc_link_client__or (desc->backoff_min_ms, LC_LINK_BACKOFF_MIN_MS);
-  lc_timer_init (&client->timer, desc->loop, lc_link_client__on_timer, client);
-  lc_link_client__connect (client);
-}
-
-static void
-lc_link_client__stop (LcLinkClient *client, const char *why)
-{
-  lc_timer_stop (&client->timer);
-  if (client->connecting != NULL)
-    h2o_socket_close (client->connecting);
-  client->connecting = NULL;
-  if (client->link != NULL)
-    lc_link_close (client->link, why);
-}
-
-/* Finished in its own link's callback: the link ends after it and must not look back. */
-static void
-lc_link_client__detach (LcLinkClient *client)
-{
-  LcLink *link = client->link;
-
-  if (link == NULL || !link->is_busy)
-    return;
-  link->client = NULL;
-  link->malformed_total = NULL;
-  client->link = NULL;
-  lc_link_close (link, "client stops");
-}
-
-void
-lc_link_client_finish (LcLinkClient *client)
-{
-  client->is_finished = true;
-  lc_link_client__detach (client);
-  lc_link_client__stop (client, "client stops");
-  lc_timer_finish (&client->timer);
-}
-
-LcLink *
-lc_link_client_link (LcLinkClient *client)
-{
-  return client->link != NULL && !client->link->is_closing ? client->link : NULL;
-}
-
-void
-lc_link_client_retarget (LcLinkClient *client, uint32_t ipv4, uint16_t port)
-{
-  client->desc.ipv4 = ipv4;
-  client->desc.port = port;
-  client->backoff_ms = lc_link_client__or (client->desc.backoff_min_ms, LC_LINK_BACKOFF_MIN_MS);
-  if (client->link != NULL)
-    {
-      lc_link_close (client->link, "peer changed"); /* schedules the next connect */
-      return;
-    }
-  lc_link_client__stop (client, "peer changed");
-  lc_link_client__connect (client);
-}
--- a/src/io/lc-link.h
+++ b/src/io/lc-link.h
@@ -22,6 +22,9 @@
  * LIMITS
  *   A link whose unsent bytes pass max_backlog_bytes refuses more with LC_ERR_FULL.  A malformed
  *   frame closes the link, is counted (malformed_total) and reported through `down`.
+ *   A link over which nothing comes for 2.5 s is closed (keep_alive); TCP alone would notice only
+ *   bytes of its own that nobody acknowledges.  Time in which this process stood still itself does
+ *   not count.
  */
 #ifndef LC_LINK_H
 #define LC_LINK_H
@@ -42,6 +45,13 @@
   void (*down) (void *user, LcLink *link, const char *why); /* may be NULL */
 } LcLinkHandler;
 
+/* Connections may fall silent for good without a reset, while new ones work. */
+typedef struct
+{
+  uint32_t period_ms; /* 0: 1000; a client that neither spoke nor heard for so long pings */
+  uint32_t silent_ms; /* 0: 2500; nothing was heard for so long: the link is closed */
+} LcLinkKeepAlive;
+
 typedef struct
 {
   h2o_loop_t *loop;
@@ -49,6 +59,7 @@
   uint16_t port;              /* 0: the kernel picks one, see lc_link_server_port */
   uint32_t max_links;         /* 0: 4096 */
   uint32_t max_backlog_bytes; /* 0: 8 MiB a link */
+  LcLinkKeepAlive keep_alive; /* it closes a link one period later than its client does */
   LcLinkHandler handler;
 } LcLinkServerDesc;
 
@@ -80,6 +91,7 @@
   uint32_t backoff_max_ms;     /* 0: 2000 */
   uint32_t connect_timeout_ms; /* 0: 1000 */
   uint32_t max_backlog_bytes;  /* 0: 8 MiB */
+  LcLinkKeepAlive keep_alive;
   LcLinkHandler handler;
 } LcLinkClientDesc;
 
--- a/tests/platform/test-link.c
+++ b/tests/platform/test-link.c
@@ -363,6 +363,106 @@
 }
 END_TEST
 
+/* === silence ================================================================================ */
+
+enum
+{
+  KEEP_ALIVE_MS = 20,
+  SILENT_MS = 60,
+};
+
+/* A peer that accepts connections, or makes them, and never says a word: its kernel acknowledges
+ * what comes, so TCP itself sees nothing wrong. */
+static int
+silent_listener (uint16_t *port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (HOST) };
+  socklen_t len = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  ck_assert_int_eq (listen (fd, 64), 0);
+  ck_assert_int_eq (getsockname (fd, (struct sockaddr *)&address, &len), 0);
+  *port = ntohs (address.sin_port);
+  return fd;
+}
+
+START_TEST (test_client_leaves_a_silent_server)
+{
+  World *w = new_world (0);
+  LcLinkClientDesc desc = { .loop = w->loop,
+                            .ipv4 = HOST,
+                            .backoff_min_ms = 5,
+                            .backoff_max_ms = 20,
+                            .keep_alive = { KEEP_ALIVE_MS, SILENT_MS },
+                            .handler = { w, on_client_frame, on_client_up, on_client_down } };
+  int fd = silent_listener (&desc.port);
+
+  lc_link_client_init (&w->client, &desc);
+  w->has_client = true;
+  run_until (w, &w->client_downs, 1);
+  run_until (w, &w->client_ups, 3); /* and tries on */
+  /* The server comes back to life: another one is there at last. */
+  lc_link_client_retarget (&w->client, HOST, lc_link_server_port (&w->server));
+  run_until (w, &w->server_ups, 1);
+  (void)close (fd);
+  free_world (w);
+}
+END_TEST
+
+START_TEST (test_server_leaves_a_silent_client)
+{
+  World *w = new_world (0);
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (HOST) };
+  LcLinkServerDesc desc = { .loop = w->loop,
+                            .ipv4 = HOST,
+                            .keep_alive = { KEEP_ALIVE_MS, SILENT_MS },
+                            .handler = { w, on_server_frame, on_server_up, on_server_down } };
+  LcError error = { 0 };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  lc_link_server_finish (&w->server);
+  ck_assert_int_eq (lc_link_server_init (&w->server, &desc, &error), 0);
+  address.sin_port = htons (lc_link_server_port (&w->server));
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+  run_until (w, &w->server_ups, 1);
+  run_until (w, &w->server_downs, 1);
+  (void)close (fd);
+  free_world (w);
+}
+END_TEST
+
+/* Links over which nobody has anything to say stay: pings are answered. */
+START_TEST (test_idle_link_stays)
+{
+  World *w = new_world (0);
+  LcLinkServerDesc server = { .loop = w->loop,
+                              .ipv4 = HOST,
+                              .keep_alive = { KEEP_ALIVE_MS, 100 * SILENT_MS },
+                              .handler = { w, on_server_frame, on_server_up, on_server_down } };
+  LcLinkClientDesc client = { .loop = w->loop,
+                              .ipv4 = HOST,
+                              .keep_alive = { KEEP_ALIVE_MS, 100 * SILENT_MS },
+                              .handler = { w, on_client_frame, on_client_up, on_client_down } };
+  uint64_t idle_bytes = 20 * 2 * LC_FRAME_HEADER_BYTES; /* of twenty pings and pongs */
+  LcError error = { 0 };
+
+  lc_link_server_finish (&w->server);
+  ck_assert_int_eq (lc_link_server_init (&w->server, &server, &error), 0);
+  client.port = lc_link_server_port (&w->server);
+  lc_link_client_init (&w->client, &client);
+  w->has_client = true;
+  run_until (w, &w->client_ups, 1);
+  while (w->client_downs == 0 &&
+         lc_link_bytes_total (lc_link_client_link (&w->client)) < idle_bytes)
+    (void)h2o_evloop_run (w->loop, TURN_WAIT_MS);
+  ck_assert_int_eq (w->client_downs, 0);
+  ck_assert_int_eq (w->server_downs, 0);
+  ck_assert_uint_eq (w->bytes, 0); /* the owner sees none of it */
+  free_world (w);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -378,6 +478,9 @@
   tcase_add_test (tcase, test_max_links);
   tcase_add_test (tcase, test_client_finishes_in_down);
   tcase_add_test (tcase, test_client_reused_in_frame);
+  tcase_add_test (tcase, test_client_leaves_a_silent_server);
+  tcase_add_test (tcase, test_server_leaves_a_silent_client);
+  tcase_add_test (tcase, test_idle_link_stays);
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
 }
