Agent: a backend server that resets its requests is left out

Cause: counting requests truly took away what had kept work from a backend server that fails at once: it had seemed busy with requests that it never answered.

Three resets in a row, or first packets left without an answer, eject it: 0.3 s, doubling to 5 s, one failure more is enough after that, one answer ends it. Its agent says so at once, assigners leave it out as long as that leaves out half of the service at most, and the agent itself hands on what arrives meanwhile. Test: flow-return test_failing_backends_are_left_out, fails without the ejection.

--- a/src/core/flow/lc-assign.c
+++ b/src/core/flow/lc-assign.c
@@ -359,6 +359,23 @@
     p->refusing_until_us = now_us + LC_ASSIGN_REFUSING_US;
 }
 
+bool
+lc_assign_may_leave_out_self (LcAssign *a, int64_t now_us)
+{
+  uint32_t n_good = 0;
+  uint32_t n_bad = 0;
+
+  for (uint32_t i = 0; i < a->n_peers; i++)
+    {
+      const LcAssignPeer *p = &a->peers[i];
+      bool is_bad = p->looks_bad || p->agent.id == a->self_id;
+
+      if (is_bad || lc_assign__may_take (a, p, now_us))
+        *(is_bad ? &n_bad : &n_good) += 1;
+    }
+  return n_good >= n_bad;
+}
+
 uint32_t
 lc_assign_capacity (const LcAssign *a, const LcAssignPeer *p, int64_t now_us)
 {
--- a/src/core/flow/lc-assign.h
+++ b/src/core/flow/lc-assign.h
@@ -121,6 +121,10 @@
   int lc_assign_choose (LcAssign *assign, uint64_t key_hash, LcDcId dc, int64_t now_us);
   void lc_assign_note (LcAssign *assign, int index);
 
+  /* Whether at least as many others take new flows and look good as look bad, this one among them:
+   * the guard that lc_assign_choose keeps, for an endpoint that was chosen by who did not know yet.
+   */
+  bool lc_assign_may_leave_out_self (LcAssign *assign, int64_t now_us);
   /* Capacity in thousandths of a nominal endpoint. */
   uint32_t lc_assign_capacity (const LcAssign *assign, const LcAssignPeer *peer, int64_t now_us);
 
--- a/src/core/flow/lc-flow-agent-private.h
+++ b/src/core/flow/lc-flow-agent-private.h
@@ -16,6 +16,10 @@
   /* The flow's request is answered, given up or moved: it counts no more, and packets held for it
    * are dropped. */
   void lc_flow_agent__end_request (LcFlowAgent *agent, LcFlow *flow);
+  /* The backend server has reset a request, or left it without a sign; or has answered one. */
+  void lc_flow_agent__note_failure (LcFlowAgent *agent, int64_t now_us);
+  void lc_flow_agent__note_success (LcFlowAgent *agent);
+  bool lc_flow_agent__looks_bad (const LcFlowAgent *agent, int64_t now_us);
   LcSteerKnown lc_flow_agent__known (const LcFlowAgent *agent, const LcFlow *flow);
   bool lc_flow_agent__is_accepting (const LcFlowAgent *agent);
   LcFlowAction lc_flow_agent__drop (LcFlowAgent *agent, LcDropReason reason);
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -63,9 +63,38 @@
   return a->desc.is_returning || !a->is_cut_off;
 }
 
+/* === private: whether its backend server works ============================================== */
+
+/* A backend server that fails at once looks idle, and would be given all new flows.  It is left out
+ * after three failures in a row, first for so long as it takes to see a few requests elsewhere. */
+static const LcOutlierDesc LC_FLOW_OUTLIER = {
+  .failures = 3,
+  .first_us = 300 * LC_US_PER_MS,
+  .longest_us = 5 * LC_US_PER_S,
+};
+
+void
+lc_flow_agent__note_failure (LcFlowAgent *a, int64_t now_us)
+{
+  if (lc_outlier_failure (&a->outlier, &LC_FLOW_OUTLIER, now_us))
+    a->counts.ejected_total++;
+}
+
+void
+lc_flow_agent__note_success (LcFlowAgent *a)
+{
+  lc_outlier_success (&a->outlier);
+}
+
+bool
+lc_flow_agent__looks_bad (const LcFlowAgent *a, int64_t now_us)
+{
+  return a->looks_bad || lc_outlier_is_ejected (&a->outlier, now_us);
+}
+
 /* Tells the assigner's knowledge of this agent itself, which needs no message. */
 static void
-lc_flow_agent__refresh_self (LcFlowAgent *a)
+lc_flow_agent__refresh_self (LcFlowAgent *a, int64_t now_us)
 {
   LcAssignPeer *self = lc_assign_peer (&a->assign, a->desc.self.id);
 
@@ -75,7 +104,7 @@
   self->at_work = lc_flow_agent_at_work (a);
   self->byte_rate = a->byte_rate;
   self->is_accepting = lc_flow_agent__is_accepting (a);
-  self->looks_bad = a->looks_bad;
+  self->looks_bad = lc_flow_agent__looks_bad (a, now_us);
   self->is_warm = a->is_warm;
 }
 
@@ -221,7 +250,7 @@
 
   if (e->mode == LC_MODE_REFUSED)
     lc_assign_refused (&a->assign, e->stray_id, now_us);
-  lc_flow_agent__refresh_self (a);
+  lc_flow_agent__refresh_self (a, now_us);
   i = lc_assign_choose (&a->assign, lc_flow_key_hash (&packet->key), e->dc, now_us);
   if (i < 0)
     return lc_flow_agent__drop (a, a->assign.failure);
@@ -455,12 +484,13 @@
 }
 
 static bool
-lc_flow_agent__has_changed (const LcFlowAgent *a)
+lc_flow_agent__has_changed (const LcFlowAgent *a, int64_t now_us)
 {
   uint32_t open = lc_flow_agent__weight (a);
   uint32_t moved = open > a->told_flows ? open - a->told_flows : a->told_flows - open;
 
-  return (uint64_t)moved * 1000 > (uint64_t)a->told_flows * LC_FLOW_TELL_PERMILLE;
+  return (uint64_t)moved * 1000 > (uint64_t)a->told_flows * LC_FLOW_TELL_PERMILLE ||
+         a->told_bad != lc_flow_agent__looks_bad (a, now_us);
 }
 
 /* Tells the peers this agent's count; of a large service, a part each time in turn. */
@@ -470,11 +500,12 @@
   uint32_t n = a->assign.n_peers;
   uint32_t told = 0;
 
-  if (n == 0 || (now_us < a->next_load_us &&
-                 (now_us - a->told_us < a->desc.tell_min_us || !lc_flow_agent__has_changed (a))))
+  if (n == 0 || (now_us < a->next_load_us && (now_us - a->told_us < a->desc.tell_min_us ||
+                                              !lc_flow_agent__has_changed (a, now_us))))
     return;
   a->told_flows = lc_flow_agent__weight (a);
   a->told_us = now_us;
+  a->told_bad = lc_flow_agent__looks_bad (a, now_us);
   a->next_load_us = now_us + a->desc.load_interval_us;
   for (uint32_t k = 0; k < n && told < a->desc.load_fanout; k++)
     {
@@ -636,7 +667,6 @@
 {
   LcFlowMessage *m = g_queue_pop_head (a->outbox);
 
-  (void)now_us;
   if (m == NULL)
     return false;
   *out = *m;
@@ -648,7 +678,7 @@
   out->load.byte_rate = a->byte_rate;
   out->load.is_accepting =
       lc_flow_agent__is_accepting (a) && out->load.open_flows < a->desc.connection_limit;
-  out->load.looks_bad = a->looks_bad;
+  out->load.looks_bad = lc_flow_agent__looks_bad (a, now_us);
   out->load.is_warm = a->is_warm;
   return true;
 }
--- a/src/core/flow/lc-flow-agent.h
+++ b/src/core/flow/lc-flow-agent.h
@@ -36,6 +36,7 @@
 #ifndef LC_FLOW_AGENT_H
 #define LC_FLOW_AGENT_H
 
+#include "core/request/lc-outlier.h"
 #include "lc-flow-gate.h"
 #include "lc-flow-message.h"
 #include "lc-flow-search.h"
@@ -146,6 +147,7 @@
     uint64_t returned_total; /* packets that the backend server did not hold the flow of */
     uint64_t searched_total; /* packets that every agent of the service was asked about */
     uint64_t denied_total;   /* searches that ended with nobody holding the flow */
+    uint64_t ejected_total;  /* times that the backend server was left out for its failures */
     uint64_t dropped_total[LC_N_DROP_REASONS];
   } LcFlowAgentCounts;
 
@@ -173,7 +175,9 @@
     bool is_without_backend; /* its backend server has not reported itself, or is silent */
     bool is_handing_over;
     bool looks_bad;
-    bool is_warm; /* flows of its backend server were handed back to it */
+    LcOutlier outlier; /* returning formats: requests that the backend server resets, in a row */
+    bool told_bad;     /* as the peers were told last */
+    bool is_warm;      /* flows of its backend server were handed back to it */
     uint32_t n_ticks;
     int64_t next_load_us;
     int64_t busy_us; /* a flow was owned, or given to another agent, at this time */
--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -149,6 +149,8 @@
 {
   if (!lc_flow_agent__is_accepting (a))
     return lc_flow_agent__refuse (a, e, LC_DROP_LEAVING);
+  if (lc_flow_agent__looks_bad (a, now_us) && lc_assign_may_leave_out_self (&a->assign, now_us))
+    return lc_flow_agent__refuse (a, e, LC_DROP_LIMIT);
   return lc_flow_return__marked (a, lc_flow_agent__take (a, f, packet, now_us), e, packet, now_us);
 }
 
@@ -301,6 +303,7 @@
   if (lc_flow_return__is_unanswered (f, packet))
     {
       lc_flow_return__disown (a, f);
+      lc_flow_agent__note_failure (a, now_us);
       return lc_flow_return__give_on (a, e, packet, now_us);
     }
   if (lc_flow_return__is_owned (a, f, packet))
@@ -394,6 +397,18 @@
   return answer;
 }
 
+/* What the backend server does with a request that it was given. */
+static void
+lc_flow_return__judge (LcFlowAgent *a, const LcFlow *f, const LcPacket *packet, int64_t now_us)
+{
+  if ((f->flags & (LC_FLOW_AT_WORK | LC_FLOW_WAITING)) != LC_FLOW_AT_WORK)
+    return;
+  if (packet->is_reset)
+    lc_flow_agent__note_failure (a, now_us);
+  else if (lc_flow_return__has_data (packet))
+    lc_flow_agent__note_success (a);
+}
+
 LcFlowAnswer
 lc_flow_return_answered (LcFlowAgent *a, const LcPacket *packet, int64_t now_us)
 {
@@ -416,6 +431,7 @@
   f->flags |= LC_FLOW_ANSWERED;
   if (!packet->is_accept && (int32_t)(packet->acknowledged - f->data_end) > 0)
     f->data_end = packet->acknowledged;
+  lc_flow_return__judge (a, f, packet, now_us);
   if (lc_flow_return__has_data (packet) || packet->is_last)
     lc_flow_agent__end_request (a, f);
   return answer;
--- a/tests/flow/return-world.c
+++ b/tests/flow/return-world.c
@@ -183,6 +183,16 @@
       n->n_firsts++;
       n->holds[rw_flow_of (p)] = true;
     }
+  else if (!p->may_open && n->holds[rw_flow_of (p)] && n->is_failing)
+    {
+      n->holds[rw_flow_of (p)] = false;
+      back.key = lc_flow_return_key (p);
+      back.is_reset = true;
+      back.is_last = true;
+      back.total_len = back.payload_start;
+      lc_flow_return_answered (&n->agent, &back, w->now_us);
+      return;
+    }
   else if (!p->may_open && n->holds[rw_flow_of (p)])
     n->n_delivered++;
   else
--- a/tests/flow/return-world.h
+++ b/tests/flow/return-world.h
@@ -26,6 +26,7 @@
     bool is_up;
     bool is_dead;           /* its backend server says nothing */
     bool is_full;           /* returns first packets */
+    bool is_failing;        /* takes first packets, and resets the flow at its first request */
     bool holds[RW_N_FLOWS]; /* flows of its backend server */
     uint32_t n_firsts;      /* first packets that its backend server took */
     uint32_t n_delivered;   /* other packets that it held the flow of */
--- a/tests/flow/test-flow-return.c
+++ b/tests/flow/test-flow-return.c
@@ -427,6 +427,48 @@
 }
 END_TEST
 
+/* A backend server that resets each request at once has nothing at work, so it looks idle: without
+ * a rule of its own it would be given every new flow. */
+static const struct
+{
+  const char *what;
+  uint32_t n_failing; /* of three */
+  uint32_t n_most;    /* flows that these are given, of RW_N_FLOWS */
+  uint32_t n_least;
+} FAILING[] = {
+  { "one fails", 1, 4, 3 },
+  { "two fail: as many as work may be left out, no more", 2, RW_N_FLOWS - 1, 6 },
+  { "all fail: somebody still gets each flow", 3, RW_N_FLOWS, RW_N_FLOWS },
+};
+
+START_TEST (test_failing_backends_are_left_out)
+{
+  uint32_t n_given = 0;
+  RwWorld w;
+
+  rw_start (&w, 3);
+  for (uint32_t i = 0; i < FAILING[_i].n_failing; i++)
+    w.nodes[i].is_failing = true;
+  for (uint32_t f = 0; f < RW_N_FLOWS; f++)
+    {
+      LcPacket first = rw_packet_of (f, true);
+      LcPacket request = rw_packet_of (f, false);
+
+      request.payload_start = 34;
+      request.total_len = 134;
+      request.sequence = 1;
+      ck_assert_int_eq (rw_send (&w, &first), 0);
+      (void)rw_send (&w, &request);
+      w.now_us += 2 * LC_US_PER_MS; /* so that no agent has told its load meanwhile */
+    }
+  for (uint32_t i = 0; i < FAILING[_i].n_failing; i++)
+    n_given += w.nodes[i].n_firsts;
+  ck_assert_msg (n_given <= FAILING[_i].n_most && n_given >= FAILING[_i].n_least, "%s: %u",
+                 FAILING[_i].what, n_given);
+  rw_stop (&w);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -444,6 +486,8 @@
   tcase_add_test (tcase, test_other_service_is_refused);
   tcase_add_loop_test (tcase, test_lost_flows, 0, (int)G_N_ELEMENTS (LOST));
   tcase_add_test (tcase, test_denials);
+  tcase_add_loop_test (tcase, test_failing_backends_are_left_out, 0,
+                       (int)(sizeof FAILING / sizeof FAILING[0]));
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
 }
