Agent: late requests go for free slots only and count as no load; objectives of routes reach the agents

Hypothesis 1: while the backlog of an outage is worked off, a third of the answers go to requests that are late already while new ones wait behind them. A late one, older than 0.8 of the service's objective, is given for a free slot only, not for the place ahead. Hypothesis 2: a backlog of 60 late ones an agent makes all agents look alike, so new requests are placed by chance. The load that agents tell each other counts what a new request competes with. Hypothesis 3: half of the first packets after an outage are of callers whose flow was lost; they look new and are not. A caller whose flow was searched for within 250 ms ranks as if it had sent a copy. The objective: a declaration's routes name theirs; the strictest of a service's routes is the service's, and it was there already in the view (burn report); numbered declarations carry it now.

--- a/src/core/control/lc-control-numbered.c
+++ b/src/core/control/lc-control-numbered.c
@@ -10,7 +10,8 @@
   const LcService *known = lc_view_service_by_name (&state->view, w->name);
   LcViewOp op = { .kind = LC_VIEW_SERVICE };
 
-  if (known != NULL && known->request_timeout_ms == w->request_timeout_ms)
+  if (known != NULL && known->request_timeout_ms == w->request_timeout_ms &&
+      known->objective_latency_ms == w->objective_latency_ms)
     return known->id;
   if (known != NULL)
     {
@@ -27,6 +28,7 @@
       (void)g_strlcpy (op.service.name, w->name, sizeof op.service.name);
     }
   op.service.request_timeout_ms = w->request_timeout_ms;
+  op.service.objective_latency_ms = w->objective_latency_ms;
   lc_control__emit (state, revision, &op);
   return op.service.id;
 }
--- a/src/core/control/lc-intent.h
+++ b/src/core/control/lc-intent.h
@@ -29,6 +29,7 @@
   enum
   {
     LC_DECLARATION_MAX = 8192,
+    LC_INTENT_TIMEOUT_MS_MAX = 3600000, /* of timeouts and latency objectives: an hour */
   };
 
   typedef enum
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -101,7 +101,7 @@
   if (self == NULL)
     return;
   self->open_flows = lc_flow_agent_open_flows (a);
-  self->at_work = lc_flow_agent_at_work (a);
+  self->at_work = lc_flow_gate_load (&a->gate, now_us);
   self->byte_rate = a->byte_rate;
   self->is_accepting = lc_flow_agent__is_accepting (a);
   self->looks_bad = lc_flow_agent__looks_bad (a, now_us);
@@ -478,15 +478,16 @@
 /* Whether the count has moved by so much since it was told that assigners would err by it. */
 /* What others compare it by, in flows: one at work weighs more than one that is open. */
 static uint32_t
-lc_flow_agent__weight (const LcFlowAgent *a)
+lc_flow_agent__weight (const LcFlowAgent *a, int64_t now_us)
 {
-  return lc_flow_agent_open_flows (a) + lc_flow_agent_at_work (a) * a->desc.assign.work_weight;
+  return lc_flow_agent_open_flows (a) +
+         lc_flow_gate_load (&a->gate, now_us) * a->desc.assign.work_weight;
 }
 
 static bool
 lc_flow_agent__has_changed (const LcFlowAgent *a, int64_t now_us)
 {
-  uint32_t open = lc_flow_agent__weight (a);
+  uint32_t open = lc_flow_agent__weight (a, now_us);
   uint32_t moved = open > a->told_flows ? open - a->told_flows : a->told_flows - open;
 
   return (uint64_t)moved * 1000 > (uint64_t)a->told_flows * LC_FLOW_TELL_PERMILLE ||
@@ -503,7 +504,7 @@
   if (n == 0 || (now_us < a->next_load_us && (now_us - a->told_us < a->desc.tell_min_us ||
                                               !lc_flow_agent__has_changed (a, now_us))))
     return;
-  a->told_flows = lc_flow_agent__weight (a);
+  a->told_flows = lc_flow_agent__weight (a, now_us);
   a->told_us = now_us;
   a->told_bad = lc_flow_agent__looks_bad (a, now_us);
   a->next_load_us = now_us + a->desc.load_interval_us;
@@ -532,11 +533,13 @@
 }
 
 static void
-lc_flow_agent__set_slots (LcFlowAgent *a)
+lc_flow_agent__set_server (LcFlowAgent *a, const LcService *service)
 {
   const LcAssignPeer *self = lc_assign_peer (&a->assign, a->desc.self.id);
+  uint32_t slots = a->desc.has_gate && self != NULL ? self->slots : 0;
+  int64_t objective_ms = service != NULL ? service->objective_latency_ms : 0;
 
-  lc_flow_gate_set_slots (&a->gate, a->desc.has_gate && self != NULL ? self->slots : 0);
+  lc_flow_gate_set_server (&a->gate, slots, objective_ms * LC_US_PER_MS);
 }
 
 /* === public: lifetime and view ============================================================== */
@@ -595,7 +598,7 @@
   lc_flow_list_remember_settling (a, now_us);
   a->sets_version++;
   lc_flow_pointers_sets_changed (a);
-  lc_flow_agent__set_slots (a);
+  lc_flow_agent__set_server (a, service);
 }
 
 /* === public: packets and messages =========================================================== */
@@ -674,7 +677,7 @@
   out->load.agent = a->desc.self;
   out->load.revision = a->view != NULL ? a->view->revision : 0;
   out->load.open_flows = lc_flow_agent_open_flows (a);
-  out->load.at_work = lc_flow_agent_at_work (a);
+  out->load.at_work = lc_flow_gate_load (&a->gate, now_us);
   out->load.byte_rate = a->byte_rate;
   out->load.is_accepting =
       lc_flow_agent__is_accepting (a) && out->load.open_flows < a->desc.connection_limit;
--- a/src/core/flow/lc-flow-agent.h
+++ b/src/core/flow/lc-flow-agent.h
@@ -39,6 +39,7 @@
 #include "core/request/lc-outlier.h"
 #include "lc-flow-gate.h"
 #include "lc-flow-message.h"
+#include "lc-flow-returners.h"
 #include "lc-flow-search.h"
 #include "lc-steer.h"
 
@@ -166,10 +167,11 @@
     uint32_t n_behind;
     uint32_t n_adopted; /* owned, of another's backend server */
     LcFlowGate gate;    /* requests that the backend server works on, and those that wait */
-    GArray *held;       /* LcFlowHeld: what is to be done with packets that were held */
-    uint32_t n_ended;   /* owned and not adopted, waiting for stragglers after the last packet */
-    LcDcId dc;          /* of this agent */
-    LcDcId arrival_dc;  /* where the packet at hand came in; 0: not known */
+    LcFlowReturners returners;
+    GArray *held;      /* LcFlowHeld: what is to be done with packets that were held */
+    uint32_t n_ended;  /* owned and not adopted, waiting for stragglers after the last packet */
+    LcDcId dc;         /* of this agent */
+    LcDcId arrival_dc; /* where the packet at hand came in; 0: not known */
     bool is_leaving;
     bool is_cut_off;
     bool is_without_backend; /* its backend server has not reported itself, or is silent */
--- a/src/core/flow/lc-flow-gate.c
+++ b/src/core/flow/lc-flow-gate.c
@@ -8,6 +8,9 @@
   LC_FLOW_GATE_MAX_WAITING = 256,
 };
 
+/* Of the objective: the rest is for the work itself and the way back. */
+#define LC_FLOW_GATE_LATE_PERMILLE 800
+#define LC_FLOW_GATE_OBJECTIVE_US (500 * LC_US_PER_MS)
 #define LC_FLOW_GATE_DOUBT_US LC_US_PER_S
 #define LC_FLOW_GATE_PROBE_US (200 * LC_US_PER_MS)
 #define LC_FLOW_GATE_GIVE_UP_US (2 * LC_US_PER_S)
@@ -60,9 +63,19 @@
 }
 
 static bool
-lc_flow_gate__has_room (LcFlowGate *gate, int64_t now_us)
+lc_flow_gate__is_late (const LcFlowGate *gate, const LcFlowGateRequest *request, int64_t now_us)
 {
-  if (gate->slots == 0 || gate->working->len < gate->slots + gate->desc.ahead)
+  return now_us - request->at_us > gate->late_us;
+}
+
+/* For the waiting request at this place. */
+static bool
+lc_flow_gate__has_room (LcFlowGate *gate, guint place, int64_t now_us)
+{
+  bool is_late = lc_flow_gate__is_late (gate, lc_flow_gate__at (gate->waiting, place), now_us);
+  uint32_t n_most = gate->slots + (is_late ? 0 : gate->desc.ahead);
+
+  if (gate->slots == 0 || gate->working->len < n_most)
     return true;
   if (now_us - gate->moved_us < gate->desc.probe_us)
     return false;
@@ -128,9 +141,11 @@
 }
 
 void
-lc_flow_gate_set_slots (LcFlowGate *gate, uint32_t slots)
+lc_flow_gate_set_server (LcFlowGate *gate, uint32_t slots, int64_t objective_us)
 {
   gate->slots = slots;
+  gate->late_us = lc_flow_gate__or_us (objective_us, LC_FLOW_GATE_OBJECTIVE_US) *
+                  LC_FLOW_GATE_LATE_PERMILLE / 1000;
 }
 
 LcFlowGateVerdict
@@ -149,7 +164,7 @@
   lc_flow_gate__doubt (gate, now_us);
   lc_flow_gate__put (gate->waiting, flow, began_us);
   if (lc_flow_gate__choose (gate) == gate->waiting->len - 1 &&
-      lc_flow_gate__has_room (gate, now_us))
+      lc_flow_gate__has_room (gate, gate->waiting->len - 1, now_us))
     {
       g_array_set_size (gate->waiting, gate->waiting->len - 1);
       lc_flow_gate__pass (gate, flow, now_us);
@@ -177,9 +192,11 @@
   guint i;
 
   lc_flow_gate__doubt (gate, now_us);
-  if (gate->waiting->len == 0 || !lc_flow_gate__has_room (gate, now_us))
+  if (gate->waiting->len == 0)
     return false;
   i = lc_flow_gate__choose (gate);
+  if (!lc_flow_gate__has_room (gate, i, now_us))
+    return false;
   *flow = lc_flow_gate__at (gate->waiting, i)->flow;
   g_array_remove_index (gate->waiting, i);
   lc_flow_gate__pass (gate, *flow, now_us);
@@ -211,3 +228,13 @@
 {
   return gate->waiting->len;
 }
+
+uint32_t
+lc_flow_gate_load (const LcFlowGate *gate, int64_t now_us)
+{
+  uint32_t n = gate->working->len;
+
+  for (guint i = 0; i < gate->waiting->len; i++)
+    n += !lc_flow_gate__is_late (gate, lc_flow_gate__at (gate->waiting, i), now_us);
+  return n;
+}
--- a/src/core/flow/lc-flow-gate.h
+++ b/src/core/flow/lc-flow-gate.h
@@ -15,7 +15,9 @@
  *
  * LIMITS, AND WHY
  *   - A request passes for every slot, and `ahead` more: a slot that frees finds the next request
- *     there, without the time that the agent needs to send it.
+ *     there, without the time that the agent needs to send it.  One that is late already, whose
+ *     caller has waited for most of the latency objective, is given for free slots only: the place
+ *     ahead is for the next new one, which would else wait behind it.
  *   - A request that shows no answer for `doubt_us` no longer counts: its caller may have given it
  *     up without a word.  So the count can't leak, and what it holds back comes back by itself.
  *   - When no request has passed for `probe_us`, one passes whatever the count says.
@@ -25,6 +27,7 @@
  *
  * HOW TO USE IT
  *     lc_flow_gate_init (&gate, &desc);
+ *     lc_flow_gate_set_server (&gate, slots, objective_us);
  *     if (lc_flow_gate_request (&gate, flow, began_us, now_us) == LC_FLOW_GATE_WAIT)
  *       keep its packets
  *     lc_flow_gate_end (&gate, flow);                         it is answered, or ended otherwise
@@ -82,6 +85,7 @@
   {
     LcFlowGateDesc desc;
     uint32_t slots;   /* of the backend server; 0: not known, nothing waits */
+    int64_t late_us;  /* a request that waits for longer is late */
     GArray *working;  /* LcFlowGateRequest, the oldest first */
     GArray *waiting;  /* LcFlowGateRequest */
     int64_t moved_us; /* when a request last passed */
@@ -94,7 +98,8 @@
 
   void lc_flow_gate_init (LcFlowGate *gate, const LcFlowGateDesc *desc);
   void lc_flow_gate_finish (LcFlowGate *gate);
-  void lc_flow_gate_set_slots (LcFlowGate *gate, uint32_t slots);
+  /* `objective_us`: within which a good request of the service is answered; 0: 500 ms. */
+  void lc_flow_gate_set_server (LcFlowGate *gate, uint32_t slots, int64_t objective_us);
 
   /* The first packet of a request, or another one of it. */
   LcFlowGateVerdict
@@ -106,6 +111,9 @@
   /* Requests that the backend server works on or has before it, and those that wait for it. */
   uint32_t lc_flow_gate_n_working (const LcFlowGate *gate);
   uint32_t lc_flow_gate_n_waiting (const LcFlowGate *gate);
+  /* What a new request competes with here: all that the server has, and those that wait and are not
+   * late.  The late ones go after it, however many there are. */
+  uint32_t lc_flow_gate_load (const LcFlowGate *gate, int64_t now_us);
 
 #ifdef __cplusplus
 }
--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -61,6 +61,7 @@
   uint32_t n = lc_flow_return__awaited (a, now_us, awaited);
 
   a->counts.searched_total++;
+  lc_flow_returners_lost (&a->returners, packet->key.source_ipv4, now_us);
   /* In a service with more endpoints than are asked, nobody can say that none holds the flow. */
   if (n < LC_FLOW_SEARCH_MAX)
     lc_flow_search_begin (a->searches, packet, awaited, n, a->view->revision, now_us);
@@ -109,6 +110,18 @@
   return AGES_MS[MIN (packet->n_copies, (uint32_t)G_N_ELEMENTS (AGES_MS) - 1)];
 }
 
+/* How long its caller has waited already for what it opens a flow for, as far as anybody can tell.
+ */
+static uint32_t
+lc_flow_return__waited_ms (LcFlowAgent *a, const LcPacket *packet, int64_t now_us)
+{
+  uint32_t age_ms = lc_flow_return__age_ms (packet);
+
+  if (lc_flow_returners_take (&a->returners, packet->key.source_ipv4, now_us))
+    age_ms = MAX (age_ms, (uint32_t)LC_FLOW_COPY_MS);
+  return age_ms;
+}
+
 /* A first packet remembers the hops that it has left while the backend server looks at it. */
 static LcFlowAction
 lc_flow_return__marked (LcFlowAgent *a,
@@ -125,7 +138,7 @@
       LcFlow *f = &a->table.flows[action.deliver.flow];
 
       f->work_ms = lc_flow_return__ms (now_us);
-      f->began_ms = MAX (f->work_ms - lc_flow_return__age_ms (packet), 1U);
+      f->began_ms = MAX (f->work_ms - lc_flow_return__waited_ms (a, packet, now_us), 1U);
       f->data_end = packet->sequence + 1;
     }
   return action;
@@ -332,6 +345,7 @@
     case LC_MODE_SEARCH:
       if (packet->may_open)
         return lc_flow_agent__drop (a, LC_DROP_NO_OWNER);
+      lc_flow_returners_lost (&a->returners, packet->key.source_ipv4, now_us);
       return lc_flow_return__try (e->candidates[0].id);
     }
   return lc_flow_agent__drop (a, LC_DROP_MALFORMED);
--- a/tests/adapter/test-declaration.c
+++ b/tests/adapter/test-declaration.c
@@ -108,6 +108,46 @@
 }
 END_TEST
 
+/* A service is held to the strictest objective of its routes. */
+START_TEST (test_objectives)
+{
+  static const char BODY[] = DOCUMENT (
+      "7",
+      ROUTE ("198.18.0.1", "/1/", "\"timeoutMs\":1,\"targetLatencyMs\":150,\"backend\":\"a\"") "," ROUTE (
+          "198.18.0.1", "/2/",
+          "\"timeoutMs\":1,\"targetLatencyMs\":120,\"backend\":"
+          "\"a\"") "," ROUTE ("198.18.0.1", "/3/",
+                              "\"timeoutMs\":1,"
+                              "\"targetLatencyMs\":99999999999,"
+                              "\"backend\":\"b\"") "," ROUTE ("198"
+                                                              ".18"
+                                                              ".0."
+                                                              "1",
+                                                              "/4"
+                                                              "/",
+                                                              "\"t"
+                                                              "ime"
+                                                              "out"
+                                                              "Ms"
+                                                              "\":"
+                                                              "1,"
+                                                              "\"b"
+                                                              "ack"
+                                                              "end"
+                                                              "\":"
+                                                              "\"a"
+                                                              "\""));
+  LcNumberedDeclaration n;
+  LcError error = { 0 };
+
+  ck_assert_int_eq (lc_platform_declaration_read (&n, BODY, strlen (BODY), &error), 0);
+  ck_assert_uint_eq (n.declaration.services[0].objective_latency_ms, 120);
+  ck_assert_uint_eq (n.declaration.services[1].objective_latency_ms, LC_INTENT_TIMEOUT_MS_MAX);
+  ck_assert ((n.declaration.services[0].fields & LC_DECLARED_OBJECTIVE_LATENCY) != 0);
+  lc_numbered_finish (&n);
+}
+END_TEST
+
 START_TEST (test_a_megabyte)
 {
   GString *body = g_string_new ("{\"version\":7,\"routes\":[");
@@ -130,6 +170,7 @@
   TCase *tcase = tcase_create ("declaration");
 
   tcase_add_loop_test (tcase, test_read, 0, (int)(sizeof CASES / sizeof CASES[0]));
+  tcase_add_test (tcase, test_objectives);
   tcase_add_test (tcase, test_a_megabyte);
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
--- a/tests/control/test-control-state.c
+++ b/tests/control/test-control-state.c
@@ -386,6 +386,33 @@
 }
 END_TEST
 
+/* The objective of a service is in force with the declaration that names it, and a new one replaces
+ * it. */
+START_TEST (test_numbered_objective)
+{
+  static const uint32_t OBJECTIVES_MS[] = { 120, 150, 0 };
+  World w = { 0 };
+
+  lc_control_state_init (&w.state);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (OBJECTIVES_MS); i++)
+    {
+      LcControlCommand c = { .kind = LC_COMMAND_NUMBERED };
+
+      c.numbered.number = i + 1;
+      c.numbered.document = g_bytes_new_static ("a", 1);
+      c.numbered.declaration.n_services = 1;
+      c.numbered.declaration.services = g_new0 (LcDeclaredService, 1);
+      (void)g_strlcpy (c.numbered.declaration.services[0].name, "one", LC_NAME_MAX);
+      c.numbered.declaration.services[0].objective_latency_ms = OBJECTIVES_MS[i];
+      lc_control_state_apply (&w.state, ++w.index, &c);
+      lc_control_command_finish (&c);
+      ck_assert_uint_eq (lc_view_service_by_name (&w.state.view, "one")->objective_latency_ms,
+                         OBJECTIVES_MS[i]);
+    }
+  lc_control_state_finish (&w.state);
+}
+END_TEST
+
 /* A command is the same after it went through the log. */
 START_TEST (test_numbered_is_packed)
 {
@@ -512,6 +539,7 @@
   tcase_add_loop_test (tcase, test_member_changes, 0, (int)G_N_ELEMENTS (CHANGES));
   tcase_add_test (tcase, test_replaced_instance_stays_replaced);
   tcase_add_loop_test (tcase, test_numbered, 0, (int)G_N_ELEMENTS (NUMBERED));
+  tcase_add_test (tcase, test_numbered_objective);
   tcase_add_test (tcase, test_numbered_is_packed);
   tcase_add_test (tcase, test_snapshot_holds_everything);
   tcase_add_loop_test (tcase, test_bad_snapshot_is_refused, ANSWER_TWICE, UNKNOWN_PLAN_STATE + 1);
