Claims: sets of homes that were lost one after the other are waited for together; counters of the gate

The time counts from when the view showed no member of the set any more: nothing can have been claimed there after that, and its requests are over 65 s later. Three sets lost at 10, 15 and 20 s are known at 85 s, 205 s before; one that is lost a minute later is waited for on its own. Not done: telling the caller at once when to come back, instead of at the request's own deadline. Also: how requests wait is counted (lychee_flow_waited_total and so on), and counters of a flow plane that begins anew no longer go backwards. Test: request test_lost_sets_are_waited_for_together, fails before (205 and 140 s).

--- a/src/agent/lc-agent-flow-report.c
+++ b/src/agent/lc-agent-flow-report.c
@@ -17,6 +17,32 @@
                                           "Answers that took longer than late_answer_ms", NULL);
 }
 
+/* How requests wait, and whether the backend server was left out (lc-flow-gate, lc-outlier). */
+static void
+lc_agent_flow__add_gate_meters (LcAgentFlow *plane, LcMetrics *metrics)
+{
+  const LcFlowGate *gate = &plane->agent.gate;
+  LcFlowMeter *meter = &plane->meter;
+
+  lc_flow_meter_add (meter, metrics, "lychee_flow_waited_total",
+                     "Requests that waited beside the backend server", NULL, &gate->waited_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_given_up_total",
+                     "Requests that waited until their callers were gone", NULL,
+                     &gate->given_up_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_overflows_total",
+                     "Requests passed because too many waited", NULL, &gate->overflows_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_probes_total",
+                     "Requests passed because none had passed for long", NULL, &gate->probes_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_doubted_total",
+                     "Requests given that showed no answer and count no more", NULL,
+                     &gate->doubted_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_ejected_total",
+                     "Times that the backend server was left out for its failures", NULL,
+                     &plane->agent.counts.ejected_total);
+  plane->at_work = lc_metrics_gauge (metrics, "lychee_flow_at_work",
+                                     "Requests without an answer, waiting ones included", NULL);
+}
+
 void
 lc_agent_flow__add_meters (LcAgentFlow *plane)
 {
@@ -59,6 +85,7 @@
   lc_flow_meter_add_drops (meter, metrics, counts->dropped_total);
   plane->open_flows =
       lc_metrics_gauge (metrics, "lychee_flow_open", "Open flows of the backend server", NULL);
+  lc_agent_flow__add_gate_meters (plane, metrics);
   lc_agent_flow__add_histograms (plane, metrics);
 }
 
@@ -83,6 +110,7 @@
 
   lc_flow_meter_bring (&plane->meter);
   lc_metric_set (plane->open_flows, lc_flow_agent_open_flows (&plane->agent));
+  lc_metric_set (plane->at_work, lc_flow_agent_at_work (&plane->agent));
   lc_agent_flow__burn (plane, LC_BURN_FLOW_OPENED, opened);
   lc_agent_flow__burn (plane, LC_BURN_FLOW_ENDED, gone);
   /* Broken flows were another's: their owner is gone and can't count them, so their home does. */
--- a/src/agent/lc-agent-flow.h
+++ b/src/agent/lc-agent-flow.h
@@ -48,6 +48,7 @@
   LcFlowMeter meter;
   uint64_t burned[LC_N_BURN_COUNTERS]; /* totals already brought to app->burn */
   LcMetric *open_flows;
+  LcMetric *at_work;
   LcMetric *open_us;
   LcMetric *answer_us;
   LcMetric *late_total;
--- a/src/core/request/lc-claim-era.c
+++ b/src/core/request/lc-claim-era.c
@@ -148,6 +148,15 @@
     }
 }
 
+static GArray *
+lc_claim_era__new_sets (void)
+{
+  GArray *sets = g_array_new (FALSE, TRUE, sizeof (LcClaimSet));
+
+  g_array_set_clear_func (sets, lc_claim_era__set_clear);
+  return sets;
+}
+
 /* === public ================================================================================= */
 
 void
@@ -157,8 +166,7 @@
   era->desc = *desc;
   if (era->desc.lost_after_us == 0)
     era->desc.lost_after_us = LC_CLAIM_ERA_LOST_AFTER_US;
-  era->sets = g_array_new (FALSE, TRUE, sizeof (LcClaimSet));
-  g_array_set_clear_func (era->sets, lc_claim_era__set_clear);
+  era->sets = lc_claim_era__new_sets ();
   era->alive = g_array_new (FALSE, TRUE, sizeof (LcMemberRef));
   era->sources = g_array_new (FALSE, TRUE, sizeof (LcMemberRef));
   era->before = g_array_new (FALSE, TRUE, sizeof (gboolean));
@@ -187,14 +195,39 @@
     }
 }
 
+/* Since when the set has no member that the view shows, but this one. */
+static int64_t
+lc_claim_era__gone_since_us (const LcClaimEra *era,
+                             const LcClaimSet *set,
+                             const GArray *known,
+                             int64_t now_us)
+{
+  for (guint i = 0; i < era->alive->len; i++)
+    {
+      LcMemberRef member = g_array_index (era->alive, LcMemberRef, i);
+
+      if (!lc_member_ref_equal (member, era->desc.self) && lc_claim_era__has (set, member))
+        return 0;
+    }
+  for (guint i = 0; i < known->len; i++)
+    {
+      const LcClaimSet *k = &g_array_index (known, LcClaimSet, i);
+
+      if (k->since == set->since && k->gone_since_us != 0)
+        return k->gone_since_us;
+    }
+  return now_us;
+}
+
 /* Answers of the present step stay valid when only newer eras were added; whether the step is
  * still the same one is seen from its target. */
 void
 lc_claim_era_set (LcClaimEra *era, const LcService *service, int64_t now_us)
 {
   LcRevision target = lc_claim_era_target (era);
+  GArray *known = era->sets;
 
-  g_array_set_size (era->sets, 0);
+  era->sets = lc_claim_era__new_sets ();
   lc_claim_era__set_alive (era, service);
   if (service != NULL)
     {
@@ -205,6 +238,13 @@
       lc_claim_era__add_set (era, service->membership_revision, service->endpoints,
                              service->n_endpoints);
     }
+  for (guint i = 0; i < era->sets->len; i++)
+    {
+      LcClaimSet *set = &g_array_index (era->sets, LcClaimSet, i);
+
+      set->gone_since_us = lc_claim_era__gone_since_us (era, set, known, now_us);
+    }
+  g_array_free (known, TRUE);
   if (lc_claim_era_find (era, era->whole) == NULL)
     {
       era->whole = 0;
@@ -334,17 +374,33 @@
   return false;
 }
 
+/* Since when nobody can answer in the present step: since it began, or since the set before was
+ * lost if that is longer ago. */
+static int64_t
+lc_claim_era__unanswered_since_us (const LcClaimEra *era, guint target)
+{
+  const LcClaimSet *former = lc_claim_era__former (era, target);
+
+  if (former == NULL || former->gone_since_us == 0)
+    return era->step_since_us;
+  return MIN (former->gone_since_us, era->step_since_us);
+}
+
+/* Steps whose sources were lost together end together. */
 void
 lc_claim_era_tick (LcClaimEra *era, int64_t now_us)
 {
   guint target = lc_claim_era__target (era);
 
-  if (target >= era->sets->len || now_us - era->step_since_us < era->desc.lost_after_us ||
-      lc_claim_era__may_answer (era, target))
-    return;
-  era->lost_total++;
-  lc_claim_era__enter (era, target, now_us);
-  lc_claim_era__advance (era, now_us);
+  while (target < era->sets->len &&
+         now_us - lc_claim_era__unanswered_since_us (era, target) >= era->desc.lost_after_us &&
+         !lc_claim_era__may_answer (era, target))
+    {
+      era->lost_total++;
+      lc_claim_era__enter (era, target, now_us);
+      lc_claim_era__advance (era, now_us);
+      target = lc_claim_era__target (era);
+    }
 }
 
 /* In the last step a key is known as soon as one of its own homes has answered. */
--- a/src/core/request/lc-claim-era.h
+++ b/src/core/request/lc-claim-era.h
@@ -20,7 +20,9 @@
  *   When too many members of a former set are gone, the step ends after `lost_after_us`: by then
  *   every request claimed there has passed its deadline, and only a later resend can run again.
  *   This is counted in lost_total.  It does not happen while the view still shows a member that
- *   could answer: a slow or cut-off one is waited for.
+ *   could answer: a slow or cut-off one is waited for.  Sets that are lost one after the other are
+ *   waited for together: the time counts from when the view showed no member of the set any more,
+ *   since nothing can have been claimed there after that.
  *
  * HOW TO USE IT
  *     lc_claim_era_init (&era, &(LcClaimEraDesc){ .self = me });
@@ -57,6 +59,8 @@
     LcRevision since;
     LcMemberRef *members; /* owned */
     uint32_t n_members;
+    int64_t
+        gone_since_us; /* the view has shown none of them, but this one, since then; 0: it does */
   } LcClaimSet;
 
   typedef struct
--- a/src/io/lc-flow-meter.c
+++ b/src/io/lc-flow-meter.c
@@ -36,6 +36,9 @@
     {
       uint64_t total = *meter->lines[i].total;
 
+      /* A plane that begins anew, beside another backend server, counts from 0 again. */
+      if (total < meter->lines[i].brought)
+        meter->lines[i].brought = 0;
       if (total != meter->lines[i].brought)
         lc_metric_add (meter->lines[i].metric, total - meter->lines[i].brought);
       meter->lines[i].brought = total;
--- a/src/io/lc-flow-meter.h
+++ b/src/io/lc-flow-meter.h
@@ -20,7 +20,7 @@
 
 enum
 {
-  LC_FLOW_METER_MAX = 40,
+  LC_FLOW_METER_MAX = 48,
 };
 
 typedef struct
--- a/tests/request/test-request.c
+++ b/tests/request/test-request.c
@@ -2,6 +2,7 @@
  * limits, filters, homes and claims. */
 #include "core/request/lc-admission.h"
 #include "core/request/lc-attempt.h"
+#include "core/request/lc-claim-era.h"
 #include "core/request/lc-claim-store.h"
 #include "core/request/lc-claim-try.h"
 #include "core/request/lc-deadline.h"
@@ -479,6 +480,104 @@
 }
 END_TEST
 
+/* === lost sets of homes ===================================================================== */
+
+enum
+{
+  N_ERAS = 4,
+  N_HOMES = 5,
+  LOST_AFTER_S = 65,
+};
+
+/* Sets of homes that were lost one after the other, a few seconds apart; endpoint 1, which asks, is
+ * a member of all.  Their claims are unknown until every request that was claimed there is over. */
+typedef struct
+{
+  const char *what;
+  LcEndpointId members[N_ERAS][N_HOMES];
+  int64_t ended_s[N_ERAS]; /* when the next set came, and all but endpoint 1 were lost */
+  int64_t known_s;         /* when everything is known */
+} LostCase;
+
+static const LostCase LOST_CASES[] = {
+  { "one set is lost", { { 1, 2, 3, 4, 5 }, { 1, 6, 7, 8, 9 } }, { 10 }, 10 + LOST_AFTER_S },
+  { "three sets are lost within ten seconds",
+    { { 1, 2, 3, 4, 5 }, { 1, 6, 7, 8, 9 }, { 1, 10, 11, 12, 13 }, { 1, 14, 15, 16, 17 } },
+    { 10, 15, 20 },
+    20 + LOST_AFTER_S },
+  { "the second is lost a minute later",
+    { { 1, 2, 3, 4, 5 }, { 1, 6, 7, 8, 9 }, { 1, 10, 11, 12, 13 } },
+    { 10, 70 },
+    70 + LOST_AFTER_S },
+};
+
+static void
+show_set (LcClaimEra *era,
+          LcView *view,
+          const LcEndpointId members[N_HOMES],
+          LcRevision revision,
+          int64_t now_us)
+{
+  const LcService *s = lc_view_service (view, 1);
+  LcViewOp op = { .kind = LC_VIEW_ENDPOINT, .revision = revision };
+  LcEndpointId known[4 * N_HOMES];
+  uint32_t n_known = 0;
+
+  for (uint32_t i = 0; i < s->n_endpoints; i++)
+    known[n_known++] = s->endpoints[i].id;
+  for (uint32_t i = 0; i < n_known; i++)
+    if (known[i] != 1)
+      {
+        LcViewOp gone = { .kind = LC_VIEW_ENDPOINT_REMOVED, .revision = revision };
+
+        gone.endpoint = *lc_view_endpoint (view, known[i]);
+        ck_assert_int_eq (lc_view_apply (view, &gone, NULL), 0);
+      }
+  for (int i = 0; i < N_HOMES; i++)
+    {
+      op.endpoint = (LcEndpoint){ .id = members[i],
+                                  .service_id = 1,
+                                  .instance = 1000 + members[i],
+                                  .state = LC_ENDPOINT_ACTIVE,
+                                  .weight_percent = 100 };
+      (void)g_snprintf (op.endpoint.name, sizeof op.endpoint.name, "e%u", members[i]);
+      ck_assert_int_eq (lc_view_apply (view, &op, NULL), 0);
+    }
+  lc_claim_era_set (era, lc_view_service (view, 1), now_us);
+}
+
+START_TEST (test_lost_sets_are_waited_for_together)
+{
+  const LostCase *c = &LOST_CASES[_i];
+  LcClaimEraDesc desc = { .self = { 1, 1001 } };
+  LcViewOp service = { .kind = LC_VIEW_SERVICE,
+                       .revision = 1,
+                       .service = { .id = 1, .name = "desk" } };
+  int64_t now_s = 0;
+  LcClaimEra era;
+  LcView view;
+  int next = 1;
+
+  lc_view_init (&view);
+  ck_assert_int_eq (lc_view_apply (&view, &service, NULL), 0);
+  lc_claim_era_init (&era, &desc);
+  show_set (&era, &view, c->members[0], 2, 0);
+  for (; lc_claim_era_target (&era) != 0 || now_s <= c->ended_s[0]; now_s++)
+    {
+      ck_assert_msg (now_s < 600, "%s", c->what);
+      if (next < N_ERAS && c->ended_s[next - 1] == now_s && now_s != 0)
+        {
+          show_set (&era, &view, c->members[next], (LcRevision)next + 2, now_s * LC_US_PER_S);
+          next++;
+        }
+      lc_claim_era_tick (&era, now_s * LC_US_PER_S);
+    }
+  ck_assert_msg (now_s - 1 == c->known_s, "%s: after %d s", c->what, (int)now_s - 1);
+  lc_claim_era_finish (&era);
+  lc_view_finish (&view);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -496,6 +595,8 @@
   tcase_add_test (tcase, test_budget_hedge_and_deadline);
   tcase_add_test (tcase, test_filters);
   tcase_add_test (tcase, test_claim_store);
+  tcase_add_loop_test (tcase, test_lost_sets_are_waited_for_together, 0,
+                       (int)(sizeof LOST_CASES / sizeof LOST_CASES[0]));
   tcase_add_test (tcase, test_claim_asks_the_first_home_alone);
   tcase_add_test (tcase, test_ids);
   suite_add_tcase (suite, tcase);
