Claims: the time of a lost set counts from its last loss, also while others of it live

What only missing members know was claimed before the last of them was lost, since a claim needs all its homes; so the time counts from then, whoever else lives.

--- a/src/core/request/lc-claim-era.c
+++ b/src/core/request/lc-claim-era.c
@@ -185,7 +185,6 @@
 static void
 lc_claim_era__set_alive (LcClaimEra *era, const LcService *service)
 {
-  g_array_set_size (era->alive, 0);
   for (uint32_t i = 0; service != NULL && i < service->n_endpoints; i++)
     {
       LcMemberRef member = { service->endpoints[i].id, service->endpoints[i].instance };
@@ -195,28 +194,46 @@
     }
 }
 
-/* Since when the set has no member that the view shows, but this one. */
-static int64_t
-lc_claim_era__gone_since_us (const LcClaimEra *era,
-                             const LcClaimSet *set,
-                             const GArray *known,
-                             int64_t now_us)
+static bool
+lc_claim_era__is_among (const GArray *members, LcMemberRef member)
 {
-  for (guint i = 0; i < era->alive->len; i++)
-    {
-      LcMemberRef member = g_array_index (era->alive, LcMemberRef, i);
+  for (guint i = 0; i < members->len; i++)
+    if (lc_member_ref_equal (g_array_index (members, LcMemberRef, i), member))
+      return true;
+  return false;
+}
 
-      if (!lc_member_ref_equal (member, era->desc.self) && lc_claim_era__has (set, member))
-        return 0;
-    }
+static int64_t
+lc_claim_era__known_loss_us (const GArray *known, const LcClaimSet *set)
+{
   for (guint i = 0; i < known->len; i++)
-    {
-      const LcClaimSet *k = &g_array_index (known, LcClaimSet, i);
+    if (g_array_index (known, LcClaimSet, i).since == set->since)
+      return g_array_index (known, LcClaimSet, i).lost_us;
+  return 0;
+}
 
-      if (k->since == set->since && k->gone_since_us != 0)
-        return k->gone_since_us;
-    }
-  return now_us;
+/* `known` are the sets as they were before, `were_alive` the members that the view showed then. */
+static void
+lc_claim_era__note_lost (const LcClaimEra *era,
+                         LcClaimSet *set,
+                         const GArray *known,
+                         const GArray *were_alive,
+                         int64_t now_us)
+{
+  bool is_any_lost = false;
+  bool is_new = false;
+
+  for (uint32_t i = 0; i < set->n_members; i++)
+    if (!lc_claim_era__is_among (era->alive, set->members[i]))
+      {
+        is_any_lost = true;
+        is_new = is_new || lc_claim_era__is_among (were_alive, set->members[i]);
+      }
+  if (!is_any_lost)
+    return;
+  set->lost_us = is_new ? now_us : lc_claim_era__known_loss_us (known, set);
+  if (set->lost_us == 0)
+    set->lost_us = now_us; /* they were lost before this agent heard of them */
 }
 
 /* Answers of the present step stay valid when only newer eras were added; whether the step is
@@ -226,8 +243,10 @@
 {
   LcRevision target = lc_claim_era_target (era);
   GArray *known = era->sets;
+  GArray *were_alive = era->alive;
 
   era->sets = lc_claim_era__new_sets ();
+  era->alive = g_array_new (FALSE, TRUE, sizeof (LcMemberRef));
   lc_claim_era__set_alive (era, service);
   if (service != NULL)
     {
@@ -239,12 +258,10 @@
                              service->n_endpoints);
     }
   for (guint i = 0; i < era->sets->len; i++)
-    {
-      LcClaimSet *set = &g_array_index (era->sets, LcClaimSet, i);
-
-      set->gone_since_us = lc_claim_era__gone_since_us (era, set, known, now_us);
-    }
+    lc_claim_era__note_lost (era, &g_array_index (era->sets, LcClaimSet, i), known, were_alive,
+                             now_us);
   g_array_free (known, TRUE);
+  g_array_free (were_alive, TRUE);
   if (lc_claim_era_find (era, era->whole) == NULL)
     {
       era->whole = 0;
@@ -374,16 +391,16 @@
   return false;
 }
 
-/* Since when nobody can answer in the present step: since it began, or since the set before was
- * lost if that is longer ago. */
+/* Since when nobody else can answer in the present step: since it began, or since the last of the
+ * members that are missing was lost if that is longer ago. */
 static int64_t
 lc_claim_era__unanswered_since_us (const LcClaimEra *era, guint target)
 {
   const LcClaimSet *former = lc_claim_era__former (era, target);
 
-  if (former == NULL || former->gone_since_us == 0)
+  if (former == NULL || former->lost_us == 0)
     return era->step_since_us;
-  return MIN (former->gone_since_us, era->step_since_us);
+  return MIN (former->lost_us, era->step_since_us);
 }
 
 /* Steps whose sources were lost together end together. */
--- a/src/core/request/lc-claim-era.h
+++ b/src/core/request/lc-claim-era.h
@@ -21,8 +21,8 @@
  *   every request claimed there has passed its deadline, and only a later resend can run again.
  *   This is counted in lost_total.  It does not happen while the view still shows a member that
  *   could answer: a slow or cut-off one is waited for.  Sets that are lost one after the other are
- *   waited for together: the time counts from when the view showed no member of the set any more,
- *   since nothing can have been claimed there after that.
+ *   waited for together: the time counts from when the view lost the last of the members that are
+ *   missing.  What only missing members know was claimed before that, since a claim needs them all.
  *
  * HOW TO USE IT
  *     lc_claim_era_init (&era, &(LcClaimEraDesc){ .self = me });
@@ -59,8 +59,7 @@
     LcRevision since;
     LcMemberRef *members; /* owned */
     uint32_t n_members;
-    int64_t
-        gone_since_us; /* the view has shown none of them, but this one, since then; 0: it does */
+    int64_t lost_us; /* when the view last lost one of them; 0: it shows all */
   } LcClaimSet;
 
   typedef struct
--- a/tests/request/test-request.c
+++ b/tests/request/test-request.c
@@ -505,12 +505,38 @@
     { { 1, 2, 3, 4, 5 }, { 1, 6, 7, 8, 9 }, { 1, 10, 11, 12, 13 }, { 1, 14, 15, 16, 17 } },
     { 10, 15, 20 },
     20 + LOST_AFTER_S },
+  { "of each set one other member lives on and answers, too few to know everything",
+    { { 1, 2, 3, 4, 5 }, { 1, 2, 7, 8, 9 }, { 1, 2, 11, 12, 13 }, { 1, 2, 15, 16, 17 } },
+    { 10, 15, 20 },
+    20 + LOST_AFTER_S },
   { "the second is lost a minute later",
     { { 1, 2, 3, 4, 5 }, { 1, 6, 7, 8, 9 }, { 1, 10, 11, 12, 13 } },
     { 10, 70 },
     70 + LOST_AFTER_S },
 };
 
+static bool
+is_in (const LcEndpointId members[N_HOMES], LcEndpointId id)
+{
+  for (int i = 0; i < N_HOMES; i++)
+    if (members[i] == id)
+      return true;
+  return false;
+}
+
+/* The other member that lives on has gone as far as this one. */
+static void
+answer_step (LcClaimEra *era, LcEndpointId id, int64_t now_us)
+{
+  LcClaimSource source = { .member = { id, 1000 + id }, .era = lc_claim_era_now (era) };
+
+  source.asked = lc_claim_era_target (era);
+  source.whole = era->whole;
+  source.whole_from = era->whole_from;
+  if (source.asked != 0)
+    lc_claim_era_source (era, &source, now_us);
+}
+
 static void
 show_set (LcClaimEra *era,
           LcView *view,
@@ -526,7 +552,7 @@
   for (uint32_t i = 0; i < s->n_endpoints; i++)
     known[n_known++] = s->endpoints[i].id;
   for (uint32_t i = 0; i < n_known; i++)
-    if (known[i] != 1)
+    if (!is_in (members, known[i]))
       {
         LcViewOp gone = { .kind = LC_VIEW_ENDPOINT_REMOVED, .revision = revision };
 
@@ -570,6 +596,11 @@
           show_set (&era, &view, c->members[next], (LcRevision)next + 2, now_s * LC_US_PER_S);
           next++;
         }
+      for (int i = 0; i < N_ERAS && is_in (c->members[1], 2); i++)
+        {
+          answer_step (&era, 2, now_s * LC_US_PER_S);
+          lc_claim_era_tick (&era, now_s * LC_US_PER_S);
+        }
       lc_claim_era_tick (&era, now_s * LC_US_PER_S);
     }
   ck_assert_msg (now_s - 1 == c->known_s, "%s: after %d s", c->what, (int)now_s - 1);
