Gate: oldest first while none that waits is late, newest first during a backlog

Change: the oldest goes first as long as no waiting request is late. Test: flow-gate, two cases and a replay of the load after an outage on one cold server: the server's own queue refuses 49 of 64 callers of the outage and serves 86 % of the new ones in time, oldest first under 60 %, the gate 90 % or more and refuses nobody.

--- a/src/core/flow/lc-flow-gate.c
+++ b/src/core/flow/lc-flow-gate.c
@@ -68,6 +68,50 @@
   return now_us - request->at_us > gate->late_us;
 }
 
+static guint
+lc_flow_gate__oldest (const LcFlowGate *gate)
+{
+  guint oldest = 0;
+
+  for (guint i = 1; i < gate->waiting->len; i++)
+    if (lc_flow_gate__at (gate->waiting, i)->at_us <
+        lc_flow_gate__at (gate->waiting, oldest)->at_us)
+      oldest = i;
+  return oldest;
+}
+
+static guint
+lc_flow_gate__newest (const LcFlowGate *gate)
+{
+  guint newest = 0;
+
+  for (guint i = 1; i < gate->waiting->len; i++)
+    if (lc_flow_gate__at (gate->waiting, i)->at_us >=
+        lc_flow_gate__at (gate->waiting, newest)->at_us)
+      newest = i;
+  return newest;
+}
+
+/* Whose turn it is; something waits. */
+static guint
+lc_flow_gate__choose (const LcFlowGate *gate, int64_t now_us)
+{
+  guint oldest = lc_flow_gate__oldest (gate);
+
+  switch (gate->desc.order)
+    {
+    case LC_FLOW_GATE_OLDEST_FIRST:
+      return oldest;
+    case LC_FLOW_GATE_NEWEST_FIRST:
+      return lc_flow_gate__newest (gate);
+    case LC_FLOW_GATE_ADAPTIVE:
+    default:
+      return lc_flow_gate__is_late (gate, lc_flow_gate__at (gate->waiting, oldest), now_us)
+                 ? lc_flow_gate__newest (gate)
+                 : oldest;
+    }
+}
+
 /* For the waiting request at this place. */
 static bool
 lc_flow_gate__has_room (LcFlowGate *gate, guint place, int64_t now_us)
@@ -83,30 +127,6 @@
   return true;
 }
 
-/* Whose turn it is; something waits. */
-static guint
-lc_flow_gate__choose (const LcFlowGate *gate)
-{
-  guint best = 0;
-
-  for (guint i = 1; i < gate->waiting->len; i++)
-    {
-      int64_t at_us = lc_flow_gate__at (gate->waiting, i)->at_us;
-      int64_t best_us = lc_flow_gate__at (gate->waiting, best)->at_us;
-
-      switch (gate->desc.order)
-        {
-        case LC_FLOW_GATE_NEWEST_FIRST:
-          best = at_us >= best_us ? i : best;
-          break;
-        case LC_FLOW_GATE_OLDEST_FIRST:
-          best = at_us < best_us ? i : best;
-          break;
-        }
-    }
-  return best;
-}
-
 static void
 lc_flow_gate__pass (LcFlowGate *gate, uint32_t flow, int64_t now_us)
 {
@@ -163,7 +183,7 @@
     }
   lc_flow_gate__doubt (gate, now_us);
   lc_flow_gate__put (gate->waiting, flow, began_us);
-  if (lc_flow_gate__choose (gate) == gate->waiting->len - 1 &&
+  if (lc_flow_gate__choose (gate, now_us) == gate->waiting->len - 1 &&
       lc_flow_gate__has_room (gate, gate->waiting->len - 1, now_us))
     {
       g_array_set_size (gate->waiting, gate->waiting->len - 1);
@@ -194,7 +214,7 @@
   lc_flow_gate__doubt (gate, now_us);
   if (gate->waiting->len == 0)
     return false;
-  i = lc_flow_gate__choose (gate);
+  i = lc_flow_gate__choose (gate, now_us);
   if (!lc_flow_gate__has_room (gate, i, now_us))
     return false;
   *flow = lc_flow_gate__at (gate->waiting, i)->flow;
--- a/src/core/flow/lc-flow-gate.h
+++ b/src/core/flow/lc-flow-gate.h
@@ -5,9 +5,10 @@
  *   which they come, and refuses the rest.  When more come than it can work on, after an outage or
  *   while it is slow or cold, its queue is filled with requests that are late already, and each new
  *   one waits behind them: all are late.  The gate keeps that queue short.  It counts the requests
- *   that the server works on, lets no more pass than the slots and a few ahead, and when a slot
- *   frees gives the one that came last among those that wait: it has the best chance to be answered
- *   in time.  Those that are late already get what capacity is left over.
+ *   that the server works on, lets no more pass than the slots and a few ahead, and gives another
+ * one when a slot frees.  While all that wait can still be in time the oldest goes first, so that
+ * none becomes late by chance.  As soon as one is late there is a backlog: the newest goes first
+ * then, since it has the best chance, and those that are late get what capacity is left over.
  *
  * LOAD PATTERN
  *   All callers of an outage at once, before backend servers that are cold: a backlog of one to two
@@ -55,8 +56,9 @@
 
   typedef enum
   {
-    LC_FLOW_GATE_NEWEST_FIRST = 0,
-    LC_FLOW_GATE_OLDEST_FIRST = 1, /* as the backend server's own queue: a baseline */
+    LC_FLOW_GATE_ADAPTIVE = 0,     /* oldest first, newest first while one that waits is late */
+    LC_FLOW_GATE_NEWEST_FIRST = 1, /* baselines */
+    LC_FLOW_GATE_OLDEST_FIRST = 2,
   } LcFlowGateOrder;
 
   typedef struct
--- a/tests/flow/test-flow-gate.c
+++ b/tests/flow/test-flow-gate.c
@@ -98,6 +98,34 @@
       { ASK, 20, 4, -380, WAITS },
       { END, 30, 1, 0, 0 },
       { NEXT, 30, 0, 0, 3 } } },
+  { "while none is late the oldest goes first",
+    LC_FLOW_GATE_ADAPTIVE,
+    1,
+    0,
+    { { ASK, 0, 1, 0, PASSES },
+      { ASK, 0, 2, 0, PASSES },
+      { ASK, 10, 3, 10, WAITS },
+      { ASK, 20, 4, 20, WAITS },
+      { END, 30, 1, 0, 0 },
+      { NEXT, 30, 0, 0, 3 },
+      { END, 40, 2, 0, 0 },
+      { NEXT, 40, 0, 0, 4 } } },
+  { "as soon as one is late the newest goes first",
+    LC_FLOW_GATE_ADAPTIVE,
+    1,
+    0,
+    { { ASK, 0, 1, 0, PASSES },
+      { ASK, 0, 2, 0, PASSES },
+      { ASK, 10, 3, -490, WAITS },
+      { ASK, 20, 4, 20, WAITS },
+      { ASK, 25, 5, 25, WAITS },
+      { END, 30, 1, 0, 0 },
+      { NEXT, 30, 0, 0, 5 },
+      { END, 40, 2, 0, 0 },
+      { NEXT, 40, 0, 0, 4 },
+      { END, 50, 4, 0, 0 },
+      { END, 50, 5, 0, 0 },
+      { NEXT, 50, 0, 0, 3 } } },
   { "one that ends while it waits",
     LC_FLOW_GATE_NEWEST_FIRST,
     1,
@@ -250,6 +278,159 @@
 }
 END_TEST
 
+/* === the load after an outage =============================================================== */
+
+/* One backend server that has just started, cold, and the callers of an outage of 1.2 s before it,
+ * all at once; new ones go on at two thirds of what it can do.  It works on `SERVER_SLOTS`
+ * requests, queues `SERVER_QUEUE` in the order in which they come and refuses the rest. */
+enum
+{
+  SERVER_SLOTS = 3,
+  SERVER_QUEUE = 12,
+  COLD_WORK_MS = 38,
+  BACKLOG = 64,
+  BACKLOG_MS = 1200,
+  NEW_EACH_MS = 19,
+  AIM_MS = 120,
+  REPLAY_MS = 2000,
+  N_REQUESTS = 512,
+};
+
+typedef struct
+{
+  int64_t born_ms;
+  int64_t ends_ms; /* 0: not yet at work */
+} Asked;
+
+typedef struct
+{
+  LcFlowGate gate;
+  bool has_gate;
+  Asked asked[N_REQUESTS];
+  uint32_t n_asked;
+  uint32_t at_work[SERVER_SLOTS];
+  uint32_t n_at_work;
+  uint32_t queue[SERVER_QUEUE];
+  uint32_t n_queued;
+  uint32_t n_refused;
+  uint32_t n_new;         /* asked after the outage */
+  uint32_t n_new_in_time; /* of them */
+} Replay;
+
+static void
+start_work (Replay *r, uint32_t request, int64_t now_ms)
+{
+  r->asked[request].ends_ms = now_ms + COLD_WORK_MS;
+  r->at_work[r->n_at_work++] = request;
+}
+
+static void
+give (Replay *r, uint32_t request, int64_t now_ms)
+{
+  if (r->n_at_work < SERVER_SLOTS)
+    start_work (r, request, now_ms);
+  else if (r->n_queued < SERVER_QUEUE)
+    r->queue[r->n_queued++] = request;
+  else
+    {
+      r->n_refused++;
+      lc_flow_gate_end (&r->gate, request);
+    }
+}
+
+static void
+ask (Replay *r, int64_t born_ms, int64_t now_ms)
+{
+  uint32_t request = r->n_asked++;
+
+  r->asked[request].born_ms = born_ms;
+  r->n_new += born_ms >= 0;
+  if (!r->has_gate ||
+      lc_flow_gate_request (&r->gate, request, born_ms * MS, now_ms * MS) == LC_FLOW_GATE_PASS)
+    give (r, request, now_ms);
+}
+
+static void
+finish_work (Replay *r, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < r->n_at_work;)
+    {
+      uint32_t request = r->at_work[i];
+      const Asked *a = &r->asked[request];
+
+      if (a->ends_ms > now_ms)
+        {
+          i++;
+          continue;
+        }
+      r->n_new_in_time += a->born_ms >= 0 && now_ms - a->born_ms <= AIM_MS;
+      r->at_work[i] = r->at_work[--r->n_at_work];
+      lc_flow_gate_end (&r->gate, request);
+      if (r->n_queued == 0)
+        continue;
+      start_work (r, r->queue[0], now_ms);
+      memmove (r->queue, r->queue + 1, --r->n_queued * sizeof r->queue[0]);
+    }
+}
+
+static void
+replay (Replay *r, bool has_gate, LcFlowGateOrder order)
+{
+  LcFlowGateDesc desc = { .order = order };
+  uint32_t flow;
+
+  memset (r, 0, sizeof *r);
+  r->has_gate = has_gate;
+  lc_flow_gate_init (&r->gate, &desc);
+  lc_flow_gate_set_server (&r->gate, SERVER_SLOTS, AIM_MS * MS);
+  for (int64_t now_ms = 0; now_ms < REPLAY_MS + AIM_MS; now_ms++)
+    {
+      finish_work (r, now_ms);
+      /* The callers of the outage come within 100 ms. */
+      if (now_ms < 100 && now_ms * BACKLOG / 100 < (now_ms + 1) * BACKLOG / 100)
+        ask (r, now_ms - 1 - (now_ms * 7919) % BACKLOG_MS, now_ms);
+      if (now_ms % NEW_EACH_MS == 0 && now_ms < REPLAY_MS)
+        ask (r, now_ms, now_ms);
+      while (r->has_gate && lc_flow_gate_next (&r->gate, now_ms * MS, &flow))
+        give (r, flow, now_ms);
+      while (lc_flow_gate_give_up (&r->gate, now_ms * MS, &flow))
+        ;
+    }
+  lc_flow_gate_finish (&r->gate);
+}
+
+static const struct
+{
+  const char *what;
+  bool has_gate;
+  LcFlowGateOrder order;
+  uint32_t least_percent; /* of the new requests that are answered in time */
+  uint32_t most_percent;
+  uint32_t least_refused;
+  uint32_t most_refused;
+} REPLAYS[] = {
+  { "the server's own queue", false, 0, 0, 89, 40, 64 },
+  { "oldest first", true, LC_FLOW_GATE_OLDEST_FIRST, 0, 60, 0, 0 },
+  { "newest first", true, LC_FLOW_GATE_NEWEST_FIRST, 90, 100, 0, 0 },
+  { "newest first while there is a backlog", true, LC_FLOW_GATE_ADAPTIVE, 90, 100, 0, 0 },
+};
+
+START_TEST (test_after_an_outage)
+{
+  static Replay r;
+  uint32_t percent;
+
+  replay (&r, REPLAYS[_i].has_gate, REPLAYS[_i].order);
+  percent = r.n_new_in_time * 100 / r.n_new;
+  ck_assert_msg (percent >= REPLAYS[_i].least_percent && percent <= REPLAYS[_i].most_percent,
+                 "%s: %u %% of %u in time, %u refused", REPLAYS[_i].what, percent, r.n_new,
+                 r.n_refused);
+  ck_assert_msg (r.n_refused >= REPLAYS[_i].least_refused &&
+                     r.n_refused <= REPLAYS[_i].most_refused,
+                 "%s: %u refused", REPLAYS[_i].what, r.n_refused);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -257,6 +438,7 @@
   TCase *tcase = tcase_create ("gate");
 
   tcase_add_loop_test (tcase, test_steps, 0, (int)(sizeof CASES / sizeof CASES[0]));
+  tcase_add_loop_test (tcase, test_after_an_outage, 0, (int)(sizeof REPLAYS / sizeof REPLAYS[0]));
   tcase_add_test (tcase, test_load);
   tcase_add_test (tcase, test_returners);
   suite_add_tcase (suite, tcase);
