Claims: one look for a member in a list

lc_claim_era__is_among, added with the losses of sets, wrote lc_claim_era__is_source's loop again; the latter calls it now. No behaviour changes.

--- a/src/core/request/lc-claim-era.c
+++ b/src/core/request/lc-claim-era.c
@@ -42,14 +42,20 @@
 }
 
 static bool
-lc_claim_era__is_source (const LcClaimEra *era, LcMemberRef member)
+lc_claim_era__is_among (const GArray *members, LcMemberRef member)
 {
-  for (guint i = 0; i < era->sources->len; i++)
-    if (lc_member_ref_equal (g_array_index (era->sources, LcMemberRef, i), member))
+  for (guint i = 0; i < members->len; i++)
+    if (lc_member_ref_equal (g_array_index (members, LcMemberRef, i), member))
       return true;
   return false;
 }
 
+static bool
+lc_claim_era__is_source (const LcClaimEra *era, LcMemberRef member)
+{
+  return lc_claim_era__is_among (era->sources, member);
+}
+
 /* The index of the era that the present step leads to; sets->len when there is none. */
 static guint
 lc_claim_era__target (const LcClaimEra *era)
@@ -194,15 +200,6 @@
     }
 }
 
-static bool
-lc_claim_era__is_among (const GArray *members, LcMemberRef member)
-{
-  for (guint i = 0; i < members->len; i++)
-    if (lc_member_ref_equal (g_array_index (members, LcMemberRef, i), member))
-      return true;
-  return false;
-}
-
 static int64_t
 lc_claim_era__known_loss_us (const GArray *known, const LcClaimSet *set)
 {
