--- a/tests/member/test-member-links.c
+++ b/tests/member/test-member-links.c
@@ -691,18 +691,17 @@
   return true;
 }
 
-START_TEST (test_seeds_that_stand_by)
+/* Two blank control VMs, and agents that know them; with `has_third` also the one that leads. */
+static void
+start_standby (Standby *s, World *w, bool has_third)
 {
-  static Standby s;
-  World *w = &world;
   LcSocketAddress seeds[3];
-  bool is_done;
 
-  memset (&s, 0, sizeof s);
+  memset (s, 0, sizeof *s);
   for (uint32_t i = 0; i < 2; i++)
     {
-      fake_control_init (&s.blank[i], w->loop, ADDRESS (70 + i), NULL);
-      seeds[i] = fake_control_address (&s.blank[i]);
+      fake_control_init (&s->blank[i], w->loop, ADDRESS (70 + i), NULL);
+      seeds[i] = fake_control_address (&s->blank[i]);
     }
   seeds[2] = fake_control_address (&w->control[0]);
   for (uint32_t i = 0; i < N_LOST_AGENTS; i++)
@@ -710,14 +709,29 @@
       char name[LC_NAME_MAX];
 
       (void)g_snprintf (name, sizeof name, "lost-%u", i);
-      fake_node_agent (&s.agents[i], w->loop, name, ADDRESS (80 + i), "hall-atl", "order-desk",
-                       seeds, 3);
+      fake_node_agent (&s->agents[i], w->loop, name, ADDRESS (80 + i), "hall-atl", "order-desk",
+                       seeds, has_third ? 3 : 2);
     }
-  is_done = fake_run_until (w->loop, have_views, &s, PATIENCE_MS);
+}
+
+static void
+stop_standby (Standby *s)
+{
   for (uint32_t i = 0; i < N_LOST_AGENTS; i++)
-    fake_node_kill (&s.agents[i]);
+    fake_node_kill (&s->agents[i]);
   for (uint32_t i = 0; i < 2; i++)
-    fake_control_finish (&s.blank[i]);
+    fake_control_finish (&s->blank[i]);
+}
+
+START_TEST (test_seeds_that_stand_by)
+{
+  static Standby s;
+  World *w = &world;
+  bool is_done;
+
+  start_standby (&s, w, true);
+  is_done = fake_run_until (w->loop, have_views, &s, PATIENCE_MS);
+  stop_standby (&s);
   ck_assert (is_done);
 }
 END_TEST
@@ -844,23 +858,9 @@
 {
   static Standby s;
   World *w = &world;
-  LcSocketAddress seeds[2];
   bool is_done;
 
-  memset (&s, 0, sizeof s);
-  for (uint32_t i = 0; i < 2; i++)
-    {
-      fake_control_init (&s.blank[i], w->loop, ADDRESS (70 + i), NULL);
-      seeds[i] = fake_control_address (&s.blank[i]);
-    }
-  for (uint32_t i = 0; i < N_LOST_AGENTS; i++)
-    {
-      char name[LC_NAME_MAX];
-
-      (void)g_snprintf (name, sizeof name, "late-%u", i);
-      fake_node_agent (&s.agents[i], w->loop, name, ADDRESS (80 + i), "hall-atl", "order-desk",
-                       seeds, 2);
-    }
+  start_standby (&s, w, false);
   fake_run_for (w->loop, 50);
   for (uint32_t i = 0; i < 2; i++)
     {
@@ -868,10 +868,7 @@
       lc_distributor_tell_waiting (s.blank[i].distributor);
     }
   is_done = fake_run_until (w->loop, have_views, &s, PATIENCE_MS);
-  for (uint32_t i = 0; i < N_LOST_AGENTS; i++)
-    fake_node_kill (&s.agents[i]);
-  for (uint32_t i = 0; i < 2; i++)
-    fake_control_finish (&s.blank[i]);
+  stop_standby (&s);
   ck_assert (is_done);
 }
 END_TEST
