Backend status: a start is an id and the time at which it began; reports of another writer name nobody

Cause: starts of a backend server were told apart by their id alone. One that starts again under its id begins its sequence anew: its reports were taken for late ones, so that it went silent or kept the 'draining' of the start before. In the agent the word of leaving outlived the start that it was of.

Now the pair (id, born) is the start, and the instance that view and peers carry is made of both. A later time is a new start: flows, requests at work, ejection and leaving begin anew at once, not only when control has committed the new instance. An earlier one changes nothing. A report without a time is of the id alone; once a time was named it counts as late, but for the end of a start that has said that it leaves. Under another id an earlier time is late while the known start is heard.

Ruled out: times against our own clock (they step); a time that has to be there (reports without it are still sent today).

The table's reports now carry all fields, since a report without them is refused; each case that expected a refusal still does.

--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -402,22 +402,12 @@
   desc->assign.stale_us = LC_AGENT_FLOW_STALE_MS * LC_US_PER_MS;
 }
 
-/* The endpoint's id and service are known once control has committed its announcement. */
-static void
-lc_agent_flow__start_agent (LcAgentFlow *plane, int64_t now_us)
+static LcFlowAgentDesc
+lc_agent_flow__agent_desc (const LcAgentFlow *plane)
 {
   const LcAgentSettings *settings = plane->desc.settings;
-  const LcEndpoint *e = lc_member_endpoint (plane->desc.member);
   LcFlowAgentDesc desc = { 0 };
 
-  if (e == NULL || e->instance != lc_member_instance (plane->desc.member) ||
-      (plane->has_agent && e->instance == plane->agent.desc.self.instance))
-    return;
-  if (plane->has_agent)
-    lc_flow_agent_finish (&plane->agent); /* another backend server: the flows were its own */
-  lc_agent_held_finish (&plane->held);
-  desc.self = (LcCandidate){ e->id, e->ipv4, e->instance, e->flow_port };
-  desc.service_id = e->service_id;
   desc.connection_limit = settings->connection_limit;
   desc.udp_idle_us = (int64_t)settings->udp_idle_ms * LC_US_PER_MS;
   desc.tcp_idle_us = (int64_t)settings->tcp_idle_ms * LC_US_PER_MS;
@@ -427,13 +417,42 @@
   desc.assign.ramp_us = (int64_t)settings->ramp_ms * LC_US_PER_MS;
   if (desc.is_returning)
     lc_agent_flow__weigh_work (&desc);
+  return desc;
+}
+
+/* With an agent that knows of no flow, for this start of the backend server. */
+static void
+lc_agent_flow__begin (
+    LcAgentFlow *plane, const LcCandidate *self, LcServiceId service_id, LcDcId dc, int64_t now_us)
+{
+  LcFlowAgentDesc desc = lc_agent_flow__agent_desc (plane);
+
+  if (plane->has_agent)
+    lc_flow_agent_finish (&plane->agent); /* another backend server: the flows were its own */
+  lc_agent_held_finish (&plane->held);
+  desc.self = *self;
+  desc.service_id = service_id;
   lc_flow_agent_init (&plane->agent, &desc, now_us);
   plane->has_agent = true;
-  lc_flow_agent_set_dc (&plane->agent, e->dc);
+  lc_flow_agent_set_dc (&plane->agent, dc);
   lc_flow_agent_set_without_backend (&plane->agent, !plane->is_backend_open);
   if (plane->is_draining || plane->is_leaving)
     lc_flow_agent_leave (&plane->agent);
-  LC_INFO ("flow.started", "endpoint", LC_U64 (e->id), "service", LC_U64 (e->service_id));
+  LC_INFO ("flow.started", "endpoint", LC_U64 (self->id), "service", LC_U64 (service_id));
+}
+
+/* The endpoint's id and service are known once control has committed its announcement. */
+static void
+lc_agent_flow__start_agent (LcAgentFlow *plane, int64_t now_us)
+{
+  const LcEndpoint *e = lc_member_endpoint (plane->desc.member);
+  LcCandidate self;
+
+  if (e == NULL || e->instance != lc_member_instance (plane->desc.member) ||
+      (plane->has_agent && e->instance == plane->agent.desc.self.instance))
+    return;
+  self = (LcCandidate){ e->id, e->ipv4, e->instance, e->flow_port };
+  lc_agent_flow__begin (plane, &self, e->service_id, e->dc, now_us);
 }
 
 static int
@@ -568,6 +587,25 @@
     lc_flow_agent_leave (&plane->agent);
 }
 
+void
+lc_agent_flow_backend_started (LcAgentFlow *plane, LcInstance instance)
+{
+  int64_t now_us = lc_clock_now_us ();
+  LcCandidate self;
+
+  plane->is_leaving = false;
+  if (!plane->has_agent)
+    return;
+  if (plane->agent.desc.self.instance == instance)
+    {
+      lc_flow_agent_stay (&plane->agent);
+      return;
+    }
+  self = plane->agent.desc.self;
+  lc_agent_flow__begin (plane, &self, plane->agent.desc.service_id, plane->agent.dc, now_us);
+  lc_flow_agent_set_view (&plane->agent, lc_member_view (plane->desc.member), now_us);
+}
+
 void
 lc_agent_flow_set_backend (LcAgentFlow *plane, bool is_open)
 {
--- a/src/agent/lc-agent-flow.h
+++ b/src/agent/lc-agent-flow.h
@@ -74,11 +74,14 @@
 /* A planned stop begins: take nothing new, let what runs end. */
 void lc_agent_flow_drain (LcAgentFlow *plane);
 bool lc_agent_flow_is_idle (const LcAgentFlow *plane);
-/* The newest view revision with whose homes every owned flow is registered; 0: none yet. */
 /* The backend server leaves: no new flow from now on, what it has stays with it. */
 void lc_agent_flow_leave (LcAgentFlow *plane);
+/* The backend server has started as this instance: unless that is the one known, nothing is left of
+ * the flows and requests before it, of its failures, or of its leaving. */
+void lc_agent_flow_backend_started (LcAgentFlow *plane, LcInstance instance);
 /* Whether the backend server may be given new flows, as far as it reports itself. */
 void lc_agent_flow_set_backend (LcAgentFlow *plane, bool is_open);
+/* The newest view revision with whose homes every owned flow is registered; 0: none yet. */
 LcRevision lc_agent_flow_registered (const LcAgentFlow *plane);
 
 #endif
--- a/src/agent/lc-agent-report.c
+++ b/src/agent/lc-agent-report.c
@@ -26,7 +26,8 @@
 {
   LC_INFO (news == LC_BACKEND_STARTED ? "backend.started" : "backend.changed", "backend",
            LC_STR (r->id), "state", LC_STR (lc_agent_report__state_name (r->state)), "sequence",
-           LC_U64 (r->sequence), "slots", LC_U64 (r->slots), "cold_ms", LC_U64 (r->cold_ms));
+           LC_U64 (r->sequence), "born_ms", LC_U64 (r->born_ms), "slots", LC_U64 (r->slots),
+           "cold_ms", LC_U64 (r->cold_ms));
 }
 
 static void
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -104,9 +104,13 @@
 {
   LcAgentProgram *p = user;
 
+  LcInstance instance = lc_backend_status_instance (&p->report.status);
+
   if (news == LC_BACKEND_STARTED)
-    lc_member_announce (&p->member, lc_backend_status_instance (&p->report.status),
-                        (uint8_t)MIN (report->slots, (uint32_t)UINT8_MAX));
+    {
+      lc_member_announce (&p->member, instance, (uint8_t)MIN (report->slots, (uint32_t)UINT8_MAX));
+      lc_agent_flow_backend_started (&p->flow, instance);
+    }
   if (report->state != LC_BACKEND_READY)
     {
       lc_agent_flow_leave (&p->flow);
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -718,6 +718,12 @@
   a->is_leaving = true;
 }
 
+void
+lc_flow_agent_stay (LcFlowAgent *a)
+{
+  a->is_leaving = a->is_handing_over;
+}
+
 void
 lc_flow_agent_hand_over (LcFlowAgent *a)
 {
--- a/src/core/flow/lc-flow-agent.h
+++ b/src/core/flow/lc-flow-agent.h
@@ -216,6 +216,8 @@
   void lc_flow_agent_set_dc (LcFlowAgent *agent, LcDcId dc);
   void lc_flow_agent_set_looks_bad (LcFlowAgent *agent, bool looks_bad);
   void lc_flow_agent_leave (LcFlowAgent *agent);
+  /* What was said of leaving was of an earlier backend server: new flows are taken again. */
+  void lc_flow_agent_stay (LcFlowAgent *agent);
   void lc_flow_agent_hand_over (LcFlowAgent *agent);
   /* Whether a leaving agent may end: it owns nothing, its view has settled without it, and whatever
    * it gave to others has arrived (LC_FLOW_LINGER_US). */
--- a/src/core/member/lc-backend-status.c
+++ b/src/core/member/lc-backend-status.c
@@ -12,10 +12,12 @@
 
 /* === private: identities ==================================================================== */
 
+/* A start is told apart by its id and the time at which it began; without a time, by its id alone.
+ */
 static LcInstance
-lc_backend_status__instance_of (const char *id)
+lc_backend_status__instance_of (const LcBackendReport *report)
 {
-  return XXH3_64bits (id, strlen (id)) | 1U;
+  return XXH3_64bits_withSeed (report->id, strlen (report->id), report->born_ms) | 1U;
 }
 
 static bool
@@ -40,6 +42,55 @@
   s->earlier[0] = known;
 }
 
+typedef enum
+{
+  LC_BACKEND_ORDER_SAME,    /* of the start that is known */
+  LC_BACKEND_ORDER_EARLIER, /* of one before it, or of none that can be told */
+  LC_BACKEND_ORDER_LATER,
+} LcBackendOrder;
+
+static bool
+lc_backend_status__is_silent (const LcBackendStatus *s, int64_t now_us)
+{
+  int64_t silent_us = (int64_t)s->desc.interval_ms * LC_BACKEND_SILENT_PERMILLE;
+
+  return now_us - s->heard_us > silent_us;
+}
+
+/* The end may come without the time of the start: it is believed of one that has said that it
+ * leaves.  Any other word without it, of a backend server that names its start, is nobody's. */
+static LcBackendOrder
+lc_backend_status__order_unborn (const LcBackendStatus *s, const LcBackendReport *report)
+{
+  bool is_end = report->state == LC_BACKEND_ENDED && s->newest.state == LC_BACKEND_DRAINING;
+
+  return is_end ? LC_BACKEND_ORDER_SAME : LC_BACKEND_ORDER_EARLIER;
+}
+
+/* Of which start the report is.  Times of starts are compared with each other only, never with a
+ * clock of ours: theirs may step.  Under another id they decide while the known start is heard: a
+ * clock that stepped back keeps a new backend server from work for a silence, not for ever. */
+static LcBackendOrder
+lc_backend_status__order (const LcBackendStatus *s, const LcBackendReport *report, int64_t now_us)
+{
+  bool is_same_id = s->newest.state != LC_BACKEND_UNKNOWN && strcmp (s->newest.id, report->id) == 0;
+  bool have_both = s->newest.born_ms != 0 && report->born_ms != 0;
+
+  if (is_same_id && s->newest.born_ms == report->born_ms)
+    return LC_BACKEND_ORDER_SAME;
+  if (is_same_id && report->born_ms == 0)
+    return lc_backend_status__order_unborn (s, report);
+  if (have_both && report->born_ms < s->newest.born_ms &&
+      (is_same_id || !lc_backend_status__is_silent (s, now_us)))
+    return LC_BACKEND_ORDER_EARLIER;
+  /* A later time under the same id proves a later start, also of one that the view named before. */
+  if (is_same_id && have_both)
+    return LC_BACKEND_ORDER_LATER;
+  return lc_backend_status__is_earlier (s, lc_backend_status__instance_of (report))
+             ? LC_BACKEND_ORDER_EARLIER
+             : LC_BACKEND_ORDER_LATER;
+}
+
 static void
 lc_backend_status__note (LcBackendStatus *s, const LcBackendReport *report, int64_t now_us)
 {
@@ -71,32 +122,35 @@
 lc_backend_status_take (LcBackendStatus *s, const LcBackendReport *report, int64_t now_us)
 {
   LcBackendState before = s->newest.state;
-  LcInstance instance = lc_backend_status__instance_of (report->id);
-  bool is_known = before != LC_BACKEND_UNKNOWN && strcmp (s->newest.id, report->id) == 0;
+  LcBackendReport taken = *report;
 
-  if (!is_known &&
-      (lc_backend_status__is_earlier (s, instance) || report->state == LC_BACKEND_ENDED))
-    return LC_BACKEND_LATE;
-  if (!is_known)
+  switch (lc_backend_status__order (s, report, now_us))
     {
-      lc_backend_status__retire (s, instance);
+    case LC_BACKEND_ORDER_EARLIER:
+      return LC_BACKEND_LATE;
+    case LC_BACKEND_ORDER_LATER:
+      if (report->state == LC_BACKEND_ENDED)
+        return LC_BACKEND_LATE;
+      lc_backend_status__retire (s, lc_backend_status__instance_of (report));
       lc_backend_status__note (s, report, now_us);
       return LC_BACKEND_STARTED;
+    case LC_BACKEND_ORDER_SAME:
+    default:
+      break;
     }
   /* What was said of leaving is never taken back, whatever order the reports come in. */
   if (report->state < before ||
       (report->state != LC_BACKEND_ENDED && report->sequence <= s->newest.sequence))
     return LC_BACKEND_LATE;
-  lc_backend_status__note (s, report, now_us);
+  taken.born_ms = s->newest.born_ms; /* the end of a start need not name it */
+  lc_backend_status__note (s, &taken, now_us);
   return report->state != before ? LC_BACKEND_CHANGED : LC_BACKEND_SAME;
 }
 
 bool
 lc_backend_status_is_open (const LcBackendStatus *s, int64_t now_us)
 {
-  int64_t silent_us = (int64_t)s->desc.interval_ms * LC_BACKEND_SILENT_PERMILLE;
-
-  return s->newest.state == LC_BACKEND_READY && now_us - s->heard_us <= silent_us;
+  return s->newest.state == LC_BACKEND_READY && !lc_backend_status__is_silent (s, now_us);
 }
 
 bool
@@ -112,5 +166,5 @@
 {
   if (s->newest.state == LC_BACKEND_UNKNOWN)
     return 0;
-  return lc_backend_status__instance_of (s->newest.id);
+  return lc_backend_status__instance_of (&s->newest);
 }
--- a/src/core/member/lc-backend-status.h
+++ b/src/core/member/lc-backend-status.h
@@ -3,8 +3,16 @@
  * WHAT IT IS
  *   A backend server may report itself to the agent beside it: who it is, whether it takes new
  * work, how long it stays slow after its start.  Reports may come late, doubled or out of order,
- * and a backend server that starts again is another one under the same address.  This module keeps
- * the newest word and says what a report changed.
+ * and a backend server that starts again is another one under the same address, and may be so under
+ * the same id: it holds nothing of before, and its sequence begins anew.  This module keeps the
+ * newest word and says what a report changed.
+ *
+ * WHICH START A REPORT IS OF
+ *   A start is the pair of an id and the time at which it began (`born_ms`).  Under one id a later
+ * time is a new start, whatever its sequence, and an earlier one changes nothing, however late it
+ * comes.  Times are compared with each other only.  Who never names a time is told apart by the id
+ * alone; once a time was named, a report without it counts as late, but for the end of a start that
+ * has said that it leaves.
  *
  * HOW TO USE IT
  *     lc_backend_status_init (&status, &desc, now_us);
@@ -47,7 +55,8 @@
   {
     char id[LC_NAME_MAX]; /* of this start of the backend server */
     LcBackendState state;
-    uint64_t sequence; /* grows with each report of one id */
+    uint64_t born_ms;  /* when this start began, Unix time at the backend server; 0: not said */
+    uint64_t sequence; /* grows with each report of one start */
     uint32_t slots;    /* requests that it runs at once; 0: not said */
     uint32_t cold_ms;  /* still slow for so long */
     char service[LC_NAME_MAX];
@@ -92,7 +101,7 @@
    * it reports itself within an interval.  `is_candidate`: the view names it, and not as leaving.
    */
   bool lc_backend_status_may_ask (const LcBackendStatus *status, bool is_candidate, int64_t now_us);
-  /* Names this start of the backend server; 0: none was reported. */
+  /* Names this start of the backend server, by its id and time; 0: none was reported. */
   LcInstance lc_backend_status_instance (const LcBackendStatus *status);
 
 #ifdef __cplusplus
--- a/tests/adapter/test-report.c
+++ b/tests/adapter/test-report.c
@@ -5,8 +5,8 @@
 #include <check.h>
 #include <string.h>
 
-#define BODY(state, rest)                                                                          \
-  "{\"backend\":\"order\",\"address\":\"10.0.0.9:8080\",\"state\":\"" state "\"" rest "}"
+#define HEAD(state) "{\"backend\":\"order\",\"address\":\"10.0.0.9:8080\",\"state\":\"" state "\""
+#define BODY(state, rest) HEAD (state) ",\"concurrency\":4,\"warmupLeftMs\":0" rest "}"
 
 typedef struct
 {
@@ -17,14 +17,58 @@
   int expected;
   LcBackendState state;
   uint64_t sequence;
+  uint64_t born_ms;
 } ReadCase;
 
 static const ReadCase READ[] = {
   { "ready", "PUT", "/instances/i-1", BODY ("ready", ",\"sequence\":4"), 0, LC_BACKEND_READY, 4 },
   { "draining", "PUT", "/instances/i-1", BODY ("draining", ",\"sequence\":9"), 0,
     LC_BACKEND_DRAINING, 9 },
-  { "unknown fields", "PUT", "/instances/i-1", BODY ("ready", ",\"colour\":{}"), 0,
-    LC_BACKEND_READY, 0 },
+  { "unknown fields", "PUT", "/instances/i-1", BODY ("ready", ",\"sequence\":3,\"colour\":{}"), 0,
+    LC_BACKEND_READY, 3 },
+  { "when it started", "PUT", "/instances/i-1",
+    BODY ("ready", ",\"sequence\":4,\"born\":1790000000123"), 0, LC_BACKEND_READY, 4,
+    1790000000123 },
+  { "ended, with its start", "DELETE", "/instances/i-1", "{\"born\":1790000000123}", 0,
+    LC_BACKEND_ENDED, 0, 1790000000123 },
+  { "ended, an empty object", "DELETE", "/instances/i-1", "{}", 0, LC_BACKEND_ENDED, 0 },
+  { "ended, with bytes that can't be read", "DELETE", "/instances/i-1", "\xff\x01",
+    LC_ERR_INVALID },
+  { "ended, start as text", "DELETE", "/instances/i-1", "{\"born\":\"1\"}", LC_ERR_INVALID },
+  { "start as text", "PUT", "/instances/i-1",
+    BODY ("ready", ",\"sequence\":4,\"born\":\"1790000000123\""), LC_ERR_INVALID },
+  { "start with a fraction", "PUT", "/instances/i-1",
+    BODY ("ready", ",\"sequence\":4,\"born\":1790000000123.5"), LC_ERR_INVALID },
+  { "start is null", "PUT", "/instances/i-1", BODY ("ready", ",\"sequence\":4,\"born\":null"),
+    LC_ERR_INVALID },
+  { "start is zero", "PUT", "/instances/i-1", BODY ("ready", ",\"sequence\":4,\"born\":0"),
+    LC_ERR_INVALID },
+  { "start before 1970", "PUT", "/instances/i-1", BODY ("ready", ",\"sequence\":4,\"born\":-5"),
+    LC_ERR_INVALID },
+  { "no sequence", "PUT", "/instances/i-1", BODY ("ready", ""), LC_ERR_INVALID },
+  { "sequence is null", "PUT", "/instances/i-1", BODY ("ready", ",\"sequence\":null"),
+    LC_ERR_INVALID },
+  { "no slots named", "PUT", "/instances/i-1", HEAD ("ready") ",\"warmupLeftMs\":0,\"sequence\":1}",
+    LC_ERR_INVALID },
+  { "no slots at all", "PUT", "/instances/i-1",
+    HEAD ("ready") ",\"concurrency\":0,\"warmupLeftMs\":0,\"sequence\":1}", LC_ERR_INVALID },
+  { "no warm-up named", "PUT", "/instances/i-1",
+    HEAD ("ready") ",\"concurrency\":4,\"sequence\":1}", LC_ERR_INVALID },
+  { "no address", "PUT", "/instances/i-1",
+    "{\"backend\":\"order\",\"state\":\"ready\",\"concurrency\":4,\"warmupLeftMs\":0,"
+    "\"sequence\":1}",
+    LC_ERR_INVALID },
+  { "address of another type", "PUT", "/instances/i-1",
+    "{\"backend\":\"order\",\"address\":{\"ip\":1},\"state\":\"ready\",\"concurrency\":4,"
+    "\"warmupLeftMs\":0,\"sequence\":1}",
+    LC_ERR_INVALID },
+  { "state of another type", "PUT", "/instances/i-1",
+    "{\"backend\":\"order\",\"address\":\"10.0.0.9:8080\",\"state\":1,\"concurrency\":4,"
+    "\"warmupLeftMs\":0,\"sequence\":1}",
+    LC_ERR_INVALID },
+  { "bytes that can't be read", "PUT", "/instances/i-1", "\x93\xff\xfe{\"", LC_ERR_INVALID },
+  { "text that is no UTF-8", "PUT", "/instances/i-1",
+    "{\"backend\":\"o\xffr\",\"state\":\"ready\"}", LC_ERR_INVALID },
   { "ended", "DELETE", "/instances/i-1", "", 0, LC_BACKEND_ENDED, 0 },
   { "other path", "PUT", "/config", "{}", LC_ERR_NOT_FOUND, 0, 0 },
   { "no id", "PUT", "/instances/", BODY ("ready", ""), LC_ERR_NOT_FOUND, 0, 0 },
@@ -65,6 +109,7 @@
     }
   ck_assert_msg (report.state == c->state && report.sequence == c->sequence, "%s", c->what);
   ck_assert_str_eq (report.id, "i-1");
+  ck_assert_msg (report.born_ms == c->born_ms, "%s", c->what);
 }
 END_TEST
 
@@ -76,6 +121,7 @@
   LcBackendState state;
   uint64_t sequence;
   LcBackendNews expected;
+  uint64_t born_ms;
 } Step;
 
 typedef struct
@@ -123,6 +169,54 @@
       { "a", LC_BACKEND_DRAINING, 9, LC_BACKEND_LATE },
       { "a", LC_BACKEND_ENDED, 0, LC_BACKEND_LATE } },
     true },
+  { "started again under the same id: its sequence begins anew",
+    { { "a", LC_BACKEND_READY, 40, LC_BACKEND_STARTED, 1000 },
+      { "a", LC_BACKEND_READY, 1, LC_BACKEND_STARTED, 2000 },
+      { "a", LC_BACKEND_READY, 2, LC_BACKEND_SAME, 2000 } },
+    true },
+  { "started again under the same id after it was leaving",
+    { { "a", LC_BACKEND_DRAINING, 40, LC_BACKEND_STARTED, 1000 },
+      { "a", LC_BACKEND_READY, 1, LC_BACKEND_STARTED, 2000 },
+      { "a", LC_BACKEND_DRAINING, 41, LC_BACKEND_LATE, 1000 } },
+    true },
+  { "started again under the same id after it ended",
+    { { "a", LC_BACKEND_DRAINING, 40, LC_BACKEND_STARTED, 1000 },
+      { "a", LC_BACKEND_ENDED, 0, LC_BACKEND_CHANGED },
+      { "a", LC_BACKEND_READY, 1, LC_BACKEND_STARTED, 2000 } },
+    true },
+  { "an earlier start's word comes behind two others",
+    { { "a", LC_BACKEND_READY, 9, LC_BACKEND_STARTED, 1000 },
+      { "a", LC_BACKEND_READY, 1, LC_BACKEND_STARTED, 2000 },
+      { "a", LC_BACKEND_READY, 1, LC_BACKEND_STARTED, 3000 },
+      { "a", LC_BACKEND_DRAINING, 99, LC_BACKEND_LATE, 2000 },
+      { "a", LC_BACKEND_ENDED, 0, LC_BACKEND_LATE, 1000 } },
+    true },
+  { "the first word that is seen is an earlier start's",
+    { { "a", LC_BACKEND_DRAINING, 9, LC_BACKEND_STARTED, 1000 },
+      { "a", LC_BACKEND_READY, 1, LC_BACKEND_STARTED, 2000 },
+      { "a", LC_BACKEND_DRAINING, 10, LC_BACKEND_LATE, 1000 } },
+    true },
+  { "a word without its start says nothing of one that named it",
+    { { "a", LC_BACKEND_READY, 3, LC_BACKEND_STARTED, 1000 },
+      { "a", LC_BACKEND_DRAINING, 9, LC_BACKEND_LATE } },
+    true },
+  { "the end, without its start, of one that never said that it leaves",
+    { { "a", LC_BACKEND_READY, 3, LC_BACKEND_STARTED, 1000 },
+      { "a", LC_BACKEND_ENDED, 0, LC_BACKEND_LATE } },
+    true },
+  { "the end of the start that it names",
+    { { "a", LC_BACKEND_READY, 3, LC_BACKEND_STARTED, 1000 },
+      { "a", LC_BACKEND_ENDED, 0, LC_BACKEND_CHANGED, 1000 } },
+    false },
+  { "another id, of an earlier start, while the known one is heard",
+    { { "b", LC_BACKEND_READY, 3, LC_BACKEND_STARTED, 2000 },
+      { "a", LC_BACKEND_DRAINING, 9, LC_BACKEND_LATE, 1000 } },
+    true },
+  { "it begins to name its start",
+    { { "a", LC_BACKEND_DRAINING, 3, LC_BACKEND_STARTED },
+      { "a", LC_BACKEND_READY, 1, LC_BACKEND_STARTED, 1000 },
+      { "a", LC_BACKEND_DRAINING, 4, LC_BACKEND_LATE } },
+    true },
 };
 
 START_TEST (test_orders)
@@ -134,7 +228,9 @@
   lc_backend_status_init (&status, &desc, 0);
   for (int i = 0; i < 6 && c->steps[i].id != NULL; i++)
     {
-      LcBackendReport report = { .state = c->steps[i].state, .sequence = c->steps[i].sequence };
+      LcBackendReport report = { .state = c->steps[i].state,
+                                 .sequence = c->steps[i].sequence,
+                                 .born_ms = c->steps[i].born_ms };
 
       (void)strcpy (report.id, c->steps[i].id);
       ck_assert_msg (lc_backend_status_take (&status, &report, 1000) == c->steps[i].expected,
@@ -233,6 +329,62 @@
 }
 END_TEST
 
+/* An agent that has started again knows from the view which start it is; a word of an earlier one,
+ * held up behind a cut, comes first. */
+START_TEST (test_earlier_start_after_a_restart)
+{
+  LcBackendStatusDesc desc = { 0 };
+  LcBackendReport earlier = {
+    .id = "a", .state = LC_BACKEND_DRAINING, .sequence = 9, .born_ms = 1000
+  };
+  LcBackendReport present = {
+    .id = "a", .state = LC_BACKEND_READY, .sequence = 5, .born_ms = 2000
+  };
+  LcBackendStatus status;
+  LcInstance instance;
+
+  lc_backend_status_init (&status, &desc, 0);
+  (void)lc_backend_status_take (&status, &earlier, 0);
+  instance = lc_backend_status_instance (&status);
+  (void)lc_backend_status_take (&status, &present, 0);
+  ck_assert_uint_ne (lc_backend_status_instance (&status), instance);
+  instance = lc_backend_status_instance (&status);
+
+  lc_backend_status_init (&status, &desc, 0);
+  lc_backend_status_note_named (&status, instance);
+  (void)lc_backend_status_take (&status, &earlier, 10);
+  ck_assert_int_eq (lc_backend_status_take (&status, &present, 20), LC_BACKEND_STARTED);
+  ck_assert_uint_eq (lc_backend_status_instance (&status), instance);
+  ck_assert (lc_backend_status_is_open (&status, 20));
+  ck_assert_int_eq (lc_backend_status_take (&status, &earlier, 30), LC_BACKEND_LATE);
+  ck_assert (lc_backend_status_is_open (&status, 30));
+}
+END_TEST
+
+/* A clock that stepped back before the start under a new id costs one silence, not the server. */
+START_TEST (test_new_id_behind_a_clock_step)
+{
+  static const struct
+  {
+    int64_t at_us;
+    LcBackendNews expected;
+  } CASES[] = { { 2500000, LC_BACKEND_LATE }, { 2500001, LC_BACKEND_STARTED } };
+  LcBackendReport known = { .id = "a", .state = LC_BACKEND_READY, .sequence = 9, .born_ms = 5000 };
+  LcBackendReport fresh = { .id = "b", .state = LC_BACKEND_READY, .sequence = 1, .born_ms = 4000 };
+
+  for (size_t i = 0; i < sizeof CASES / sizeof CASES[0]; i++)
+    {
+      LcBackendStatusDesc desc = { .interval_ms = 1000 };
+      LcBackendStatus status;
+
+      lc_backend_status_init (&status, &desc, 0);
+      (void)lc_backend_status_take (&status, &known, 0);
+      ck_assert_int_eq (lc_backend_status_take (&status, &fresh, CASES[i].at_us),
+                        CASES[i].expected);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -244,6 +396,8 @@
   tcase_add_test (tcase, test_silence);
   tcase_add_test (tcase, test_nothing_reported_yet);
   tcase_add_test (tcase, test_report_of_an_earlier_start);
+  tcase_add_test (tcase, test_earlier_start_after_a_restart);
+  tcase_add_test (tcase, test_new_id_behind_a_clock_step);
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
 }
--- a/tests/flow/test-flow-return.c
+++ b/tests/flow/test-flow-return.c
@@ -109,6 +109,22 @@
 }
 END_TEST
 
+/* Its backend server was taken for one that leaves, by the word of an earlier start. */
+START_TEST (test_who_stays_takes_new_flows)
+{
+  RwWorld w;
+
+  rw_start (&w, 1);
+  lc_flow_agent_leave (&w.nodes[0].agent);
+  rw_open_flows (&w);
+  ck_assert_uint_eq (w.nodes[0].n_firsts, 0);
+  lc_flow_agent_stay (&w.nodes[0].agent);
+  rw_open_flows (&w);
+  ck_assert_uint_eq (w.nodes[0].n_firsts, RW_N_FLOWS);
+  rw_stop (&w);
+}
+END_TEST
+
 static const struct
 {
   const char *what;
@@ -477,6 +493,7 @@
 
   tcase_add_loop_test (tcase, test_open_flows_are_found, 0, (int)G_N_ELEMENTS (EVENTS));
   tcase_add_test (tcase, test_new_flows_avoid_who_leaves);
+  tcase_add_test (tcase, test_who_stays_takes_new_flows);
   tcase_add_loop_test (tcase, test_first_packets_are_returned, 0, (int)G_N_ELEMENTS (FULL));
   tcase_add_test (tcase, test_the_caller_chooses);
   tcase_add_test (tcase, test_copies_go_on);
