--- a/proto/lc-flow.pb-c.c
+++ b/proto/lc-flow.pb-c.c
@@ -97,7 +97,7 @@
   assert(message->base.descriptor == &lc__wire__flow_message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lc__wire__flow_entry__field_descriptors[13] =
+static const ProtobufCFieldDescriptor lc__wire__flow_entry__field_descriptors[14] =
 {
   {
     "source_ipv4",
@@ -255,6 +255,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_unsure",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__FlowEntry, is_unsure),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__flow_entry__field_indices_by_name[] = {
   7,   /* field[7] = backend_id */
@@ -265,6 +277,7 @@
   12,   /* field[12] = idle_ms */
   4,   /* field[4] = is_end */
   5,   /* field[5] = is_refused */
+  13,   /* field[13] = is_unsure */
   2,   /* field[2] = ports */
   3,   /* field[3] = protocol */
   11,   /* field[11] = relay_port */
@@ -274,7 +287,7 @@
 static const ProtobufCIntRange lc__wire__flow_entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor lc__wire__flow_entry__descriptor =
 {
@@ -284,14 +297,14 @@
   "Lc__Wire__FlowEntry",
   "lc.wire",
   sizeof(Lc__Wire__FlowEntry),
-  13,
+  14,
   lc__wire__flow_entry__field_descriptors,
   lc__wire__flow_entry__field_indices_by_name,
   1,  lc__wire__flow_entry__number_ranges,
   (ProtobufCMessageInit) lc__wire__flow_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__flow_message__field_descriptors[16] =
+static const ProtobufCFieldDescriptor lc__wire__flow_message__field_descriptors[19] =
 {
   {
     "kind",
@@ -485,6 +498,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "knowledge",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__FlowMessage, knowledge),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "membership",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__FlowMessage, membership),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "round",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__FlowMessage, round),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__flow_message__field_indices_by_name[] = {
   15,   /* field[15] = at_work */
@@ -496,10 +545,13 @@
   9,   /* field[9] = is_accepting */
   14,   /* field[14] = is_warm */
   0,   /* field[0] = kind */
+  16,   /* field[16] = knowledge */
   10,   /* field[10] = looks_bad */
+  17,   /* field[17] = membership */
   7,   /* field[7] = open_flows */
   5,   /* field[5] = port */
   6,   /* field[6] = revision */
+  18,   /* field[18] = round */
   1,   /* field[1] = service_id */
   11,   /* field[11] = to_id */
   12,   /* field[12] = to_instance */
@@ -507,7 +559,7 @@
 static const ProtobufCIntRange lc__wire__flow_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor lc__wire__flow_message__descriptor =
 {
@@ -517,7 +569,7 @@
   "Lc__Wire__FlowMessage",
   "lc.wire",
   sizeof(Lc__Wire__FlowMessage),
-  16,
+  19,
   lc__wire__flow_message__field_descriptors,
   lc__wire__flow_message__field_indices_by_name,
   1,  lc__wire__flow_message__number_ranges,
--- a/proto/lc-flow.pb-c.h
+++ b/proto/lc-flow.pb-c.h
@@ -40,10 +40,11 @@
   uint32_t backend_port;
   uint32_t relay_port;
   uint32_t idle_ms;
+  protobuf_c_boolean is_unsure;
 };
 #define LC__WIRE__FLOW_ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__flow_entry__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Lc__Wire__FlowMessage
@@ -66,10 +67,13 @@
   Lc__Wire__FlowEntry **entries;
   protobuf_c_boolean is_warm;
   uint32_t at_work;
+  uint32_t knowledge;
+  uint64_t membership;
+  uint32_t round;
 };
 #define LC__WIRE__FLOW_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__flow_message__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /* Lc__Wire__FlowEntry methods */
--- a/src/agent/lc-agent-flow-report.c
+++ b/src/agent/lc-agent-flow-report.c
@@ -80,8 +80,10 @@
   lc_flow_meter_add (meter, metrics, "lychee_flow_returned_total",
                      "Packets that the backend server returned", NULL, &counts->returned_total);
   lc_flow_meter_add (meter, metrics, "lychee_flow_searched_total",
-                     "Packets whose owner was looked for at every agent", NULL,
-                     &counts->searched_total);
+                     "Packets whose owner was searched for", NULL, &counts->searched_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_asked_total",
+                     "Messages to agents that may know the owners of flows", NULL,
+                     &counts->asked_total);
   lc_flow_meter_add_drops (meter, metrics, counts->dropped_total);
   plane->open_flows =
       lc_metrics_gauge (metrics, "lychee_flow_open", "Open flows of the backend server", NULL);
@@ -139,6 +141,8 @@
       return "not taken here";
     case LC_MODE_SEARCH:
       return "asked for the owner";
+    case LC_MODE_FIND:
+      return "to be searched for there";
     }
   return NULL;
 }
@@ -187,7 +191,8 @@
       return;
     case LC_FLOW_ACTION_SEARCH:
       line.kind = LC_FLOW_LOG_SEARCHED;
-      line.why = action->is_here ? "no home knows its owner" : "the backend server returned it";
+      line.why =
+          action->search.is_here ? "no home knows its owner" : "the backend server returned it";
       line.n_asked = n_asked;
       break;
     case LC_FLOW_ACTION_RESET:
--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -1,5 +1,6 @@
 #include "lc-agent-flow-private.h"
 
+#include "core/flow/lc-flow-finder.h"
 #include "core/flow/lc-flow-return.h"
 #include "io/lc-clock.h"
 #include "io/lc-flow-wire.h"
@@ -12,6 +13,7 @@
   LC_AGENT_FLOW_TICK_MS = LC_FLOW_AGENT_TICK_US / LC_US_PER_MS,
   LC_AGENT_FLOW_CUT_OFF_MS = 2000, /* below the shortest lease: see lc-steer */
   LC_AGENT_FLOW_LOG_PER_S = 2,
+  LC_AGENT_FLOW_FIRST_REPORT = 1, /* sequence of the first report after a start */
 
   /* Where requests at work are seen: */
   LC_AGENT_FLOW_LOAD_MS = 200,       /* loads are told at least so often */
@@ -87,6 +89,34 @@
 
 /* === private: messages ====================================================================== */
 
+/* Gives packets that are searched for to those whose backend servers may hold their flows; returns
+ * to how many. */
+static uint32_t
+lc_agent_flow__try_searched (LcAgentFlow *plane, int64_t now_us)
+{
+  uint8_t header[LC_ENVELOPE_MAX_BYTES];
+  uint32_t n_given = 0;
+  LcEnvelope envelope;
+  LcFlowTry next;
+
+  while (lc_flow_finder_next_try (&plane->agent, now_us, &next))
+    {
+      const LcAgentHeldPacket *kept = lc_agent_held_take (&plane->searched, next.place);
+
+      for (uint32_t i = 0; kept != NULL && i < next.n; i++)
+        {
+          lc_flow_return_search (&plane->agent, &next.to[i], &envelope);
+          (void)lc_datagram_send (&plane->port, next.to[i].ipv4, next.to[i].port, header,
+                                  lc_envelope_encode (&envelope, header, sizeof header),
+                                  kept->bytes, kept->len);
+          n_given++;
+        }
+      if (kept != NULL)
+        (void)lc_agent_held_put (&plane->searched, next.place, kept->bytes, kept->len);
+    }
+  return n_given;
+}
+
 static void
 lc_agent_flow__send_messages (LcAgentFlow *plane, int64_t now_us)
 {
@@ -95,6 +125,7 @@
 
   lc_agent_flow__give_held (plane, now_us);
   lc_agent_flow__send_resets (plane, now_us);
+  (void)lc_agent_flow__try_searched (plane, now_us);
   while (lc_flow_agent_next (&plane->agent, &message, now_us))
     {
       size_t len = lc_flow_wire_write (&message, bytes, sizeof bytes);
@@ -165,23 +196,17 @@
                           packet->total_len);
 }
 
-/* Asks every other agent of the service for the owner of the packet's flow; returns how many. */
-static uint32_t
-lc_agent_flow__search (LcAgentFlow *plane, bool is_here, uint8_t *bytes, const LcPacket *packet)
+static void
+lc_agent_flow__search (LcAgentFlow *plane,
+                       const LcFlowAction *action,
+                       uint8_t *bytes,
+                       const LcPacket *packet)
 {
-  LcCandidate others[LC_FLOW_SEARCH_MAX];
-  uint32_t n = lc_flow_return_others (&plane->agent, lc_flow_key_hash (&packet->key), others);
-  LcEnvelope envelope;
-
   lc_packet_format_set_mark (lc_agent_flow__format (plane), bytes, LC_FLOW_MARK_NONE);
-  for (uint32_t i = 0; i < n; i++)
-    {
-      lc_flow_return_search (&plane->agent, &others[i], &envelope);
-      lc_agent_flow__send (plane, &envelope, others[i].ipv4, others[i].port, bytes, packet);
-    }
-  if (is_here)
+  lc_agent_held_drop (&plane->searched, action->search.place);
+  (void)lc_agent_held_put (&plane->searched, action->search.place, bytes, packet->total_len);
+  if (action->search.is_here)
     lc_agent_flow__give (plane, bytes, packet->total_len, plane->agent.desc.self.id);
-  return n;
 }
 
 static void
@@ -207,7 +232,8 @@
       lc_agent_flow__give (plane, bytes, packet->total_len, action->try_mark);
       break;
     case LC_FLOW_ACTION_SEARCH:
-      n_asked = lc_agent_flow__search (plane, action->is_here, bytes, packet);
+      lc_agent_flow__search (plane, action, bytes, packet);
+      n_asked = lc_agent_flow__try_searched (plane, now_us);
       break;
     case LC_FLOW_ACTION_RESET:
       lc_agent_flow__reset (plane, packet);
@@ -430,8 +456,10 @@
   if (plane->has_agent)
     lc_flow_agent_finish (&plane->agent); /* another backend server: the flows were its own */
   lc_agent_held_finish (&plane->held);
+  lc_agent_held_finish (&plane->searched);
   desc.self = *self;
   desc.service_id = service_id;
+  desc.is_fresh = plane->is_fresh;
   lc_flow_agent_init (&plane->agent, &desc, now_us);
   plane->has_agent = true;
   lc_flow_agent_set_dc (&plane->agent, dc);
@@ -452,7 +480,11 @@
       (plane->has_agent && e->instance == plane->agent.desc.self.instance))
     return;
   self = (LcCandidate){ e->id, e->ipv4, e->instance, e->flow_port };
-  lc_agent_flow__begin (plane, &self, e->service_id, e->dc, now_us);
+  if (plane->has_agent && plane->started == e->instance &&
+      plane->agent.desc.service_id == e->service_id)
+    lc_flow_agent_rename (&plane->agent, &self); /* begun when its backend server reported itself */
+  else
+    lc_agent_flow__begin (plane, &self, e->service_id, e->dc, now_us);
 }
 
 static int
@@ -588,12 +620,17 @@
 }
 
 void
-lc_agent_flow_backend_started (LcAgentFlow *plane, LcInstance instance)
+lc_agent_flow_backend_started (LcAgentFlow *plane, LcInstance instance, uint64_t sequence)
 {
+  const LcEndpoint *known = lc_member_endpoint (plane->desc.member);
   int64_t now_us = lc_clock_now_us ();
   LcCandidate self;
 
   plane->is_leaving = false;
+  plane->started = instance;
+  plane->is_fresh = sequence <= LC_AGENT_FLOW_FIRST_REPORT &&
+                    (known == NULL || known->instance != instance) &&
+                    (!plane->has_agent || plane->agent.table.n_owned == 0);
   if (!plane->has_agent)
     return;
   if (plane->agent.desc.self.instance == instance)
--- a/src/agent/lc-agent-flow.h
+++ b/src/agent/lc-agent-flow.h
@@ -43,7 +43,8 @@
   bool has_outbound;
   LcAgentRelay relay;
   LcAgentInject inject;
-  LcAgentHeld held; /* packets that wait for a free slot of the backend server */
+  LcAgentHeld held;     /* packets that wait for a free slot of the backend server */
+  LcAgentHeld searched; /* packets whose owners are searched for, by place */
   LcTimer timer;
   LcFlowMeter meter;
   uint64_t burned[LC_N_BURN_COUNTERS]; /* totals already brought to app->burn */
@@ -55,8 +56,10 @@
   LcFlowLog log;
   bool is_draining;
   bool is_backend_open;
-  bool is_leaving;   /* the backend server takes nothing new */
-  bool has_given_up; /* nobody is left to take over: waiting longer would save nothing */
+  bool is_leaving;    /* the backend server takes nothing new */
+  bool is_fresh;      /* it began under this process, which knows all its flows */
+  LcInstance started; /* the start that it reported */
+  bool has_given_up;  /* nobody is left to take over: waiting longer would save nothing */
   int64_t hand_over_us;
   uint64_t malformed_total;
   uint64_t message_bytes_total;
@@ -77,8 +80,9 @@
 /* The backend server leaves: no new flow from now on, what it has stays with it. */
 void lc_agent_flow_leave (LcAgentFlow *plane);
 /* The backend server has started as this instance: unless that is the one known, nothing is left of
- * the flows and requests before it, of its failures, or of its leaving. */
-void lc_agent_flow_backend_started (LcAgentFlow *plane, LcInstance instance);
+ * the flows and requests before it, of its failures, or of its leaving.  `sequence`: of the report
+ * that told it; after its first report nothing but this process can have given it flows. */
+void lc_agent_flow_backend_started (LcAgentFlow *plane, LcInstance instance, uint64_t sequence);
 /* Whether the backend server may be given new flows, as far as it reports itself. */
 void lc_agent_flow_set_backend (LcAgentFlow *plane, bool is_open);
 /* The newest view revision with whose homes every owned flow is registered; 0: none yet. */
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -109,7 +109,7 @@
   if (news == LC_BACKEND_STARTED)
     {
       lc_member_announce (&p->member, instance, (uint8_t)MIN (report->slots, (uint32_t)UINT8_MAX));
-      lc_agent_flow_backend_started (&p->flow, instance);
+      lc_agent_flow_backend_started (&p->flow, instance, report->sequence);
     }
   if (report->state != LC_BACKEND_READY)
     {
--- a/src/core/flow/lc-assign.h
+++ b/src/core/flow/lc-assign.h
@@ -63,6 +63,14 @@
     int64_t stale_us;       /* an endpoint not heard for this long is passed over; 0: never */
   } LcAssignDesc;
 
+  /* Whether an agent knows every flow that its backend server holds (lc-flow-finder.h). */
+  typedef enum
+  {
+    LC_FLOW_KNOWS_UNSAID = 0,
+    LC_FLOW_KNOWS_ALL = 1,
+    LC_FLOW_KNOWS_SOME = 2,
+  } LcFlowKnowledge;
+
   /* What an agent tells the others of its service. */
   typedef struct
   {
@@ -74,6 +82,7 @@
     bool is_accepting;  /* false: leaving, or at its limit */
     bool looks_bad;     /* its backend server's health endpoint says so */
     bool is_warm;       /* its agent was restarted beside a running backend server: no ramp */
+    LcFlowKnowledge knowledge;
   } LcFlowLoad;
 
   typedef struct
@@ -94,6 +103,7 @@
     bool is_accepting;
     bool looks_bad;
     bool is_warm;
+    LcFlowKnowledge knowledge;
   } LcAssignPeer;
 
   typedef struct
--- a/src/core/flow/lc-envelope.c
+++ b/src/core/flow/lc-envelope.c
@@ -103,7 +103,7 @@
 static bool
 lc_envelope__is_sound (const LcEnvelope *e)
 {
-  return e->mode >= LC_MODE_WALK && e->mode <= LC_MODE_SEARCH && e->n > 0 &&
+  return e->mode >= LC_MODE_WALK && e->mode <= LC_MODE_FIND && e->n > 0 &&
          e->n <= LC_CANDIDATES_MAX + 2 && e->hop < e->n && e->assigner < e->n &&
          e->refusal < LC_N_DROP_REASONS && e->hops_left <= LC_ENVELOPE_HOPS;
 }
--- a/src/core/flow/lc-envelope.h
+++ b/src/core/flow/lc-envelope.h
@@ -58,7 +58,8 @@
     LC_MODE_OWNER = 3,   /* a pointer says that the target owns the flow */
     LC_MODE_OPEN = 4,    /* the assigner gave the flow to the target */
     LC_MODE_REFUSED = 5, /* the target did not take it; back at the assigner */
-    LC_MODE_SEARCH = 6,  /* no home knows the owner: every agent tries it (lc-flow-return.h) */
+    LC_MODE_SEARCH = 6,  /* no home knows the owner: the target tries it (lc-flow-finder.h) */
+    LC_MODE_FIND = 7,    /* no home knows the owner: the target searches for it */
   } LcEnvelopeMode;
 
   /* Why a packet went no further. */
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -1,4 +1,5 @@
 #include "lc-flow-agent-private.h"
+#include "lc-flow-finder.h"
 #include "lc-flow-list.h"
 #include "lc-flow-pointers.h"
 #include "lc-flow-return.h"
@@ -561,9 +562,14 @@
   lc_flow_table_init (&a->table, d->max_flows, now_us);
   lc_assign_init (&a->assign, &d->assign);
   a->outbox = g_queue_new ();
+  a->knows_all_us = d->is_fresh ? now_us : now_us + d->tcp_idle_us;
   if (d->is_returning)
-    a->searches = g_new0 (LcFlowSearches, 1);
+    {
+      a->searches = g_new (LcFlowSearches, 1);
+      lc_flow_searches_init (a->searches, now_us);
+    }
   a->resets = g_array_new (FALSE, FALSE, sizeof (LcPacket));
+  a->found = g_array_new (FALSE, FALSE, sizeof (LcFlowFound));
   a->held = g_array_new (FALSE, FALSE, sizeof (LcFlowHeld));
   lc_flow_gate_init (&a->gate, &d->gate);
 }
@@ -577,8 +583,11 @@
   lc_candidate_sets_finish (&a->previous_sets);
   lc_candidate_sets_finish (&a->settling_sets);
   g_queue_free_full (a->outbox, g_free);
+  if (a->searches != NULL)
+    lc_flow_searches_finish (a->searches);
   g_free (a->searches);
   g_array_unref (a->resets);
+  g_array_unref (a->found);
   g_array_unref (a->held);
   lc_flow_gate_finish (&a->gate);
   memset (a, 0, sizeof *a);
@@ -599,6 +608,8 @@
   a->sets_version++;
   lc_flow_pointers_sets_changed (a);
   lc_flow_agent__set_server (a, service);
+  if (a->searches != NULL)
+    lc_flow_finder_set_members (a, now_us);
 }
 
 /* === public: packets and messages =========================================================== */
@@ -643,7 +654,13 @@
       lc_flow_pointers_adopted (a, m, now_us);
       break;
     case LC_FLOW_DENIED:
-      lc_flow_return_denied (a, m, now_us);
+      lc_flow_finder_denied (a, m, now_us);
+      break;
+    case LC_FLOW_ASK:
+      lc_flow_finder_asked (a, m);
+      break;
+    case LC_FLOW_ANSWER:
+      lc_flow_finder_answered (a, m, now_us);
       break;
     case LC_FLOW_LOAD:
     default:
@@ -663,6 +680,7 @@
     lc_flow_pointers_hand_over (a, LC_FLOW_HAND_OVER_BATCH, now_us);
   lc_flow_agent__measure_bytes (a, now_us);
   lc_flow_agent__tell_load (a, now_us);
+  lc_flow_finder_tick (a, now_us);
 }
 
 bool
@@ -683,6 +701,8 @@
       lc_flow_agent__is_accepting (a) && out->load.open_flows < a->desc.connection_limit;
   out->load.looks_bad = lc_flow_agent__looks_bad (a, now_us);
   out->load.is_warm = a->is_warm;
+  out->load.knowledge = lc_flow_finder_knowledge (a, now_us);
+  out->membership = a->sets.membership_revision;
   return true;
 }
 
@@ -706,6 +726,15 @@
   a->dc = dc;
 }
 
+void
+lc_flow_agent_rename (LcFlowAgent *a, const LcCandidate *self)
+{
+  a->desc.self = *self;
+  for (uint32_t i = 0; i < a->table.capacity; i++)
+    if (a->table.flows[i].kind == LC_FLOW_OWNED)
+      lc_flow_pointers_start (a, &a->table.flows[i]);
+}
+
 void
 lc_flow_agent_set_looks_bad (LcFlowAgent *a, bool looks_bad)
 {
--- a/src/core/flow/lc-flow-agent.h
+++ b/src/core/flow/lc-flow-agent.h
@@ -69,6 +69,7 @@
     uint32_t backend_ipv4;       /* named in hand-overs */
     uint16_t backend_port;
     bool is_returning; /* the backend server returns what it does not hold: lc-flow-return.h */
+    bool is_fresh;     /* the backend server began under this agent: it holds nothing yet */
     bool has_gate;     /* and requests wait beside it when it has no free slot: lc-flow-gate.h */
     LcFlowGateDesc gate;
     LcAssignDesc assign;
@@ -82,7 +83,7 @@
 
     /* Where backend servers return what they do not hold: */
     LC_FLOW_ACTION_TRY = 4,    /* give it to the backend server with try_mark; nobody owns it yet */
-    LC_FLOW_ACTION_SEARCH = 5, /* ask every other agent of the service, and here if is_here */
+    LC_FLOW_ACTION_SEARCH = 5, /* keep it until its owner is found, and try it here if is_here */
     LC_FLOW_ACTION_RESET = 6,  /* tell the caller that the flow can't be opened, for `reason` */
     LC_FLOW_ACTION_HOLD = 7, /* keep it with the others of `hold_flow`: lc_flow_return_next_held */
   } LcFlowActionKind;
@@ -108,7 +109,11 @@
       LcDropReason reason;
       uint32_t try_mark;
       uint32_t hold_flow; /* index in the table */
-      bool is_here;
+      struct
+      {
+        uint32_t place; /* keep the packet under this number: lc_flow_finder_next_try */
+        bool is_here;   /* try it on the backend server here, too */
+      } search;
     };
   } LcFlowAction;
 
@@ -133,6 +138,12 @@
     bool is_given; /* to the backend server now; false: dropped */
   } LcFlowHeld;
 
+  typedef struct
+  {
+    uint32_t place; /* LcFlowAction.search.place */
+    LcCandidate owner;
+  } LcFlowFound;
+
   typedef struct
   {
     uint64_t delivered_total;
@@ -146,8 +157,10 @@
     uint64_t broken_total; /* flows of owners that are gone, seen by their first home */
     uint64_t messages_total;
     uint64_t returned_total; /* packets that the backend server did not hold the flow of */
-    uint64_t searched_total; /* packets that every agent of the service was asked about */
+    uint64_t searched_total; /* packets whose owner was searched for */
     uint64_t denied_total;   /* searches that ended with nobody holding the flow */
+    uint64_t found_total;    /* searches that found the owner by the word of another agent */
+    uint64_t asked_total;    /* messages of rounds, to agents that may know the owner */
     uint64_t ejected_total;  /* times that the backend server was left out for its failures */
     uint64_t dropped_total[LC_N_DROP_REASONS];
   } LcFlowAgentCounts;
@@ -181,8 +194,10 @@
     bool told_bad;     /* as the peers were told last */
     bool is_warm;      /* flows of its backend server were handed back to it */
     uint32_t n_ticks;
+    uint32_t next_try; /* place of the search that is looked at next for whom to try */
     int64_t next_load_us;
-    int64_t busy_us; /* a flow was owned, or given to another agent, at this time */
+    int64_t knows_all_us; /* from then on it knows every flow of its backend server */
+    int64_t busy_us;      /* a flow was owned, or given to another agent, at this time */
     uint32_t load_turn;
     uint32_t told_flows; /* open flows when the peers were told last */
     int64_t told_us;
@@ -193,6 +208,7 @@
     GQueue *outbox;           /* LcFlowMessage, owned */
     LcFlowSearches *searches; /* owned; NULL: backend servers don't return packets */
     GArray *resets;           /* LcPacket: flows that nobody holds */
+    GArray *found;            /* LcFlowFound: packets to be given to the owners that were found */
     LcFlowAgentCounts counts;
   } LcFlowAgent;
 
@@ -214,6 +230,8 @@
   /* Whether there is a backend server that may take new flows, as far as it reports itself. */
   void lc_flow_agent_set_without_backend (LcFlowAgent *agent, bool is_without);
   void lc_flow_agent_set_dc (LcFlowAgent *agent, LcDcId dc);
+  /* The same backend server goes on under this name: its flows are registered anew. */
+  void lc_flow_agent_rename (LcFlowAgent *agent, const LcCandidate *self);
   void lc_flow_agent_set_looks_bad (LcFlowAgent *agent, bool looks_bad);
   void lc_flow_agent_leave (LcFlowAgent *agent);
   /* What was said of leaving was of an earlier backend server: new flows are taken again. */
--- /dev/null
+++ b/src/core/flow/lc-flow-finder.c
@@ -0,0 +1,379 @@
+#include "lc-flow-finder.h"
+
+#include "lc-flow-agent-private.h"
+#include "lc-flow-pointers.h"
+
+#include <xxhash.h>
+
+/* A lost endpoint's flows count as gone after this time: it is longer than the lease, and than the
+ * time after which a platform counts a cut-off VM as out of touch (4 to 5 s). */
+#define LC_FLOW_LOST_US (5 * LC_US_PER_S)
+
+/* === private: members ======================================================================= */
+
+static bool
+lc_flow_finder__is_direct (const LcFlowAgent *a)
+{
+  return a->assign.n_peers <= LC_FLOW_FINDER_DIRECT;
+}
+
+/* Endpoints whose word is waited for.  One that the view has lost may live and be cut off; after
+ * LC_FLOW_LOST_US its callers are better served by a new flow. */
+static bool
+lc_flow_finder__is_awaited (const LcAssignPeer *p, int64_t now_us)
+{
+  return p->lost_us == 0 || now_us - p->lost_us < LC_FLOW_LOST_US;
+}
+
+static LcFlowSearchMember
+lc_flow_finder__self (const LcFlowAgent *a)
+{
+  return (LcFlowSearchMember){ a->desc.self.id, a->desc.self.instance };
+}
+
+static LcFlowSearchMember
+lc_flow_finder__sender (const LcFlowMessage *m)
+{
+  return (LcFlowSearchMember){ m->load.agent.id, m->load.agent.instance };
+}
+
+/* === private: searchers ===================================================================== */
+
+/* The agents that take turns in searching for this flow: those that score highest for its shard. */
+static uint32_t
+lc_flow_finder__searchers (const LcFlowAgent *a,
+                           const LcPacket *packet,
+                           const LcAssignPeer *best[LC_FLOW_FINDER_TURNS])
+{
+  uint64_t shard = lc_flow_key_hash (&packet->key) % LC_FLOW_FINDER_SHARDS;
+  uint64_t scores[LC_FLOW_FINDER_TURNS] = { 0 };
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < a->assign.n_peers; i++)
+    {
+      const LcAssignPeer *p = &a->assign.peers[i];
+      uint64_t score = XXH3_64bits_withSeed (&p->agent.id, sizeof p->agent.id, shard);
+      uint32_t at = n;
+
+      if (p->lost_us != 0)
+        continue;
+      while (at > 0 && scores[at - 1] < score)
+        at--;
+      if (at == LC_FLOW_FINDER_TURNS)
+        continue;
+      n = MIN (n + 1, (uint32_t)LC_FLOW_FINDER_TURNS);
+      for (uint32_t k = n - 1; k > at; k--)
+        {
+          scores[k] = scores[k - 1];
+          best[k] = best[k - 1];
+        }
+      scores[at] = score;
+      best[at] = p;
+    }
+  return n;
+}
+
+static const LcCandidate *
+lc_flow_finder__searcher (const LcFlowAgent *a, const LcPacket *packet, int64_t now_us)
+{
+  const LcAssignPeer *best[LC_FLOW_FINDER_TURNS];
+  uint32_t n = lc_flow_finder__searchers (a, packet, best);
+
+  return n > 0 ? &best[(uint64_t)(now_us / LC_FLOW_FINDER_TURN_US) % n]->agent : NULL;
+}
+
+/* === private: the searcher ================================================================== */
+
+static void
+lc_flow_finder__take_lost (LcFlowAgent *a)
+{
+  LcPacket packet;
+
+  while (lc_flow_search_next_lost (a->searches, &packet))
+    {
+      a->counts.denied_total++;
+      g_array_append_val (a->resets, packet);
+    }
+}
+
+/* Asks the members that have not answered the round.  Those whose agents don't know all are asked
+ * as well: they may know by now. */
+static void
+lc_flow_finder__send_round (LcFlowAgent *a, const LcFlowRound *round)
+{
+  for (uint32_t i = 0; i < a->searches->n_members; i++)
+    {
+      const LcAssignPeer *peer = lc_assign_peer (&a->assign, a->searches->members[i].id);
+      LcFlowMessage *m;
+
+      if (peer == NULL || peer->agent.id == a->desc.self.id || !lc_flow_search_is_asked (round, i))
+        continue;
+      m = lc_flow_pointers_message (a, LC_FLOW_ASK, &peer->agent);
+      m->round = round->id;
+      m->n = round->n;
+      for (uint32_t k = 0; k < round->n; k++)
+        m->entries[k].key = round->keys[k];
+      a->counts.asked_total++;
+    }
+}
+
+static void
+lc_flow_finder__ask (LcFlowAgent *a, int64_t now_us)
+{
+  const LcFlowRound *round;
+
+  while (!lc_flow_finder__is_direct (a) &&
+         (round = lc_flow_search_round (a->searches, now_us)) != NULL)
+    lc_flow_finder__send_round (a, round);
+}
+
+static LcFlowSearchTurn
+lc_flow_finder__turn (const LcFlowAgent *a, const LcFlowSearch *search)
+{
+  if (!search->is_new_packet)
+    return LC_FLOW_SEARCH_NEXT;
+  return lc_flow_finder__is_direct (a) ? LC_FLOW_SEARCH_ALL : LC_FLOW_SEARCH_NEXT_NEW;
+}
+
+static bool
+lc_flow_finder__may_try (void *user, LcEndpointId id)
+{
+  const LcFlowAgent *a = user;
+  const LcAssignPeer *peer = lc_assign_peer (&a->assign, id);
+
+  return peer != NULL && id != a->desc.self.id &&
+         (lc_flow_finder__is_direct (a) || peer->knowledge == LC_FLOW_KNOWS_SOME);
+}
+
+/* === private: the asked ===================================================================== */
+
+/* Whether the backend server here, which has answered the flow, may hold it although the homes
+ * decided for another owner. */
+static bool
+lc_flow_finder__is_unsure (const LcFlow *f)
+{
+  return f->kind != LC_FLOW_OWNED && (f->flags & LC_FLOW_ANSWERED) != 0;
+}
+
+/* What this agent can say of one flow. */
+static void
+lc_flow_finder__say (LcFlowAgent *a, const LcFlowKey *key, LcFlowMessage *answer)
+{
+  LcFlow *f = lc_flow_table_find (&a->table, key, lc_flow_key_hash (key));
+  LcSteerKnown known = lc_flow_agent__known (a, f);
+  bool is_pointer = known.kind == LC_FLOW_POINTER && known.is_live && known.is_confirmed;
+  LcCandidate owner = is_pointer ? known.other : (LcCandidate){ 0 };
+  LcFlowEntry *entry;
+
+  if (f == NULL || (f->kind != LC_FLOW_OWNED && !is_pointer && !lc_flow_finder__is_unsure (f)))
+    return;
+  if (f->kind == LC_FLOW_OWNED)
+    owner = a->desc.self;
+  if (f->kind == LC_FLOW_OWNED && (f->flags & LC_FLOW_QUEUED) == 0)
+    lc_flow_pointers_start (a, f); /* its homes have forgotten it */
+  entry = &answer->entries[answer->n++];
+  entry->key = *key;
+  entry->is_unsure = lc_flow_finder__is_unsure (f);
+  entry->backend_id = owner.id;
+  entry->backend_instance = owner.instance;
+  entry->backend_ipv4 = owner.ipv4;
+  entry->backend_port = owner.port;
+}
+
+/* === public: searching ====================================================================== */
+
+LcFlowAction
+lc_flow_finder_walk_ended (LcFlowAgent *a, LcEnvelope *e, const LcPacket *packet, int64_t now_us)
+{
+  const LcCandidate *searcher =
+      lc_flow_finder__is_direct (a) ? NULL : lc_flow_finder__searcher (a, packet, now_us);
+
+  if (searcher == NULL || lc_candidate_equal (searcher, &a->desc.self))
+    return lc_flow_finder_search (a, packet, false, 0, now_us);
+  e->stray_id = a->desc.self.id; /* who is to learn the owner */
+  return lc_flow_agent__send (a, e, LC_MODE_FIND, searcher);
+}
+
+void
+lc_flow_finder_tell (LcFlowAgent *a, LcEndpointId home, const LcFlowKey *key)
+{
+  const LcAssignPeer *peer = lc_assign_peer (&a->assign, home);
+
+  if (peer != NULL && home != a->desc.self.id)
+    lc_flow_finder__say (a, key, lc_flow_pointers_message (a, LC_FLOW_ANSWER, &peer->agent));
+}
+
+LcFlowAction
+lc_flow_finder_search (
+    LcFlowAgent *a, const LcPacket *packet, bool is_returned, LcEndpointId home, int64_t now_us)
+{
+  LcFlowSearchMember self = lc_flow_finder__self (a);
+  bool knows_all = lc_flow_finder_knowledge (a, now_us) == LC_FLOW_KNOWS_ALL;
+  LcFlowAction action = { .kind = LC_FLOW_ACTION_SEARCH };
+  LcFlowSearch *search;
+
+  a->counts.searched_total++;
+  lc_flow_returners_lost (&a->returners, packet->key.source_ipv4, now_us);
+  search = lc_flow_search_begin (a->searches, packet, now_us);
+  search->is_new_packet = true;
+  search->home = home;
+  action.search.place = lc_flow_search_place (a->searches, search);
+  action.search.is_here = !is_returned && !knows_all;
+  a->next_try = MIN (a->next_try, action.search.place);
+  if (!action.search.is_here)
+    lc_flow_search_clear (a->searches, &packet->key, &self, a->sets.membership_revision, now_us);
+  lc_flow_finder__ask (a, now_us);
+  lc_flow_finder__take_lost (a);
+  return action;
+}
+
+LcFlowAction
+lc_flow_finder_tried (LcFlowAgent *a, const LcPacket *packet, int64_t now_us)
+{
+  const LcAssignPeer *peer = lc_assign_peer (&a->assign, packet->mark);
+  LcFlowSearchMember self = lc_flow_finder__self (a);
+
+  if (packet->mark == a->desc.self.id)
+    {
+      lc_flow_search_clear (a->searches, &packet->key, &self, a->sets.membership_revision, now_us);
+      lc_flow_finder__take_lost (a);
+    }
+  else if (peer != NULL)
+    lc_flow_pointers_entry (a, LC_FLOW_DENIED, &peer->agent)->key = packet->key;
+  return lc_flow_agent__drop (a, LC_DROP_NO_OWNER);
+}
+
+bool
+lc_flow_finder_next_try (LcFlowAgent *a, int64_t now_us, LcFlowTry *next)
+{
+  LcEndpointId ids[LC_FLOW_SEARCH_MAX];
+
+  if (a->found->len > 0)
+    {
+      LcFlowFound *found = &g_array_index (a->found, LcFlowFound, a->found->len - 1);
+
+      *next = (LcFlowTry){ .place = found->place, .n = 1, .to = { found->owner } };
+      g_array_set_size (a->found, a->found->len - 1);
+      return true;
+    }
+
+  while (a->searches != NULL && a->next_try < LC_FLOW_SEARCHES)
+    {
+      LcFlowSearch *search = lc_flow_search_at (a->searches, a->next_try++, now_us);
+
+      if (search == NULL)
+        continue;
+      next->n = lc_flow_search_try (a->searches, search, lc_flow_finder__turn (a, search),
+                                    lc_flow_finder__may_try, a, ids);
+      search->is_new_packet = false;
+      if (next->n == 0)
+        continue;
+      next->place = a->next_try - 1;
+      for (uint32_t i = 0; i < next->n; i++)
+        next->to[i] = lc_assign_peer (&a->assign, ids[i])->agent;
+      return true;
+    }
+  return false;
+}
+
+/* === public: messages ======================================================================= */
+
+void
+lc_flow_finder_denied (LcFlowAgent *a, const LcFlowMessage *m, int64_t now_us)
+{
+  LcFlowSearchMember sender = lc_flow_finder__sender (m);
+
+  if (a->searches == NULL)
+    return;
+  for (uint32_t i = 0; i < m->n; i++)
+    lc_flow_search_clear (a->searches, &m->entries[i].key, &sender, m->membership, now_us);
+  lc_flow_finder__take_lost (a);
+}
+
+void
+lc_flow_finder_asked (LcFlowAgent *a, const LcFlowMessage *m)
+{
+  LcFlowMessage *answer = lc_flow_pointers_message (a, LC_FLOW_ANSWER, &m->load.agent);
+
+  answer->round = m->round;
+  for (uint32_t i = 0; i < m->n; i++)
+    lc_flow_finder__say (a, &m->entries[i].key, answer);
+}
+
+/* The packet that waited goes to the owner at once: a copy would come 0.2 s later. */
+static void
+lc_flow_finder__found (LcFlowAgent *a, const LcFlowKey *key, const LcCandidate *owner)
+{
+  LcFlowFound found = { 0, *owner };
+
+  if (!lc_flow_search_found (a->searches, key, &found.place))
+    return;
+  lc_flow_finder_tell (a, a->searches->slots[found.place].home, key);
+  a->counts.found_total++;
+  g_array_append_val (a->found, found);
+}
+
+void
+lc_flow_finder_answered (LcFlowAgent *a, const LcFlowMessage *m, int64_t now_us)
+{
+  LcFlowSearchMember sender = lc_flow_finder__sender (m);
+
+  if (a->searches == NULL)
+    return;
+  for (uint32_t i = 0; i < m->n; i++)
+    {
+      const LcFlowEntry *e = &m->entries[i];
+      LcCandidate owner = { e->backend_id, e->backend_ipv4, e->backend_instance, e->backend_port };
+
+      if (e->is_unsure)
+        lc_flow_search_doubt (a->searches, &e->key, &sender);
+      if (owner.id == 0)
+        continue;
+      /* The owner's own word counts even where the view has lost it. */
+      if (lc_flow_pointers_learn (a, &e->key, &owner, m->load.revision, now_us) ||
+          lc_candidate_equal (&owner, &m->load.agent))
+        lc_flow_finder__found (a, &e->key, &owner);
+    }
+  if (m->load.knowledge == LC_FLOW_KNOWS_ALL)
+    lc_flow_search_answer (a->searches, m->round, &sender, m->membership, now_us);
+  else
+    lc_flow_search_cannot_say (a->searches, m->round, &sender);
+  lc_flow_finder__take_lost (a);
+}
+
+/* === public: time =========================================================================== */
+
+void
+lc_flow_finder_set_members (LcFlowAgent *a, int64_t now_us)
+{
+  LcFlowSearchMember *members = g_new (LcFlowSearchMember, a->assign.n_peers + 1);
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < a->assign.n_peers; i++)
+    {
+      const LcAssignPeer *p = &a->assign.peers[i];
+
+      if (lc_flow_finder__is_awaited (p, now_us))
+        members[n++] = (LcFlowSearchMember){ p->agent.id, p->agent.instance };
+    }
+  if (!lc_flow_searches_has_members (a->searches, members, n, a->sets.membership_revision))
+    lc_flow_searches_set_members (a->searches, members, n, a->sets.membership_revision);
+  lc_flow_finder__take_lost (a);
+  g_free (members);
+}
+
+void
+lc_flow_finder_tick (LcFlowAgent *a, int64_t now_us)
+{
+  if (a->searches == NULL || a->searches->n_used == 0)
+    return;
+  lc_flow_finder_set_members (a, now_us); /* lost ones are awaited no more after a while */
+  lc_flow_finder__ask (a, now_us);
+  a->next_try = 0;
+}
+
+LcFlowKnowledge
+lc_flow_finder_knowledge (const LcFlowAgent *a, int64_t now_us)
+{
+  return now_us >= a->knows_all_us ? LC_FLOW_KNOWS_ALL : LC_FLOW_KNOWS_SOME;
+}
--- a/src/core/flow/lc-flow-message.h
+++ b/src/core/flow/lc-flow-message.h
@@ -33,6 +33,8 @@
     LC_FLOW_HAND_OVER_ACK = 5,
     LC_FLOW_CONTEST = 6, /* home to the owner that it knows: another claims these */
     LC_FLOW_DENIED = 7, /* to an agent that searches: the backend server here does not hold these */
+    LC_FLOW_ASK = 8,    /* an agent that searches: does your backend server hold any of these? */
+    LC_FLOW_ANSWER = 9, /* to LC_FLOW_ASK: those of which the owner is known */
   } LcFlowMessageKind;
 
   typedef struct
@@ -40,9 +42,10 @@
     LcFlowKey key;
     bool is_end;                 /* POINTERS: the flow ended; HAND_OVER: its last packet passed */
     bool is_refused;             /* acknowledgements: another owner stands */
+    bool is_unsure;              /* ANSWER: the backend server may hold it; try the packet there */
     uint32_t epoch;              /* hand-overs of the flow so far */
     LcEndpointId backend_id;     /* HAND_OVER: whose backend server has the flow;
-                                    CONTEST: the agent that claims it */
+                                    CONTEST: the agent that claims it; ANSWER: the owner */
     LcInstance backend_instance; /* of its agent when it took the flow */
     uint32_t backend_ipv4;
     uint16_t backend_port;
@@ -56,6 +59,8 @@
     LcServiceId service_id;
     LcFlowLoad load; /* of the sender; its agent and revision count in every kind */
     LcCandidate to;
+    LcRevision membership; /* newest set of members that the sender knows */
+    uint32_t round;        /* ASK, and the ANSWER to it */
     uint32_t n;
     LcFlowEntry entries[LC_FLOW_BATCH_MAX];
   } LcFlowMessage;
--- a/src/core/flow/lc-flow-pointers.c
+++ b/src/core/flow/lc-flow-pointers.c
@@ -229,17 +229,21 @@
 }
 
 static void
-lc_flow_pointers__give_up (LcFlowAgent *a, LcFlow *f)
+lc_flow_pointers__give_up (LcFlowAgent *a, LcFlow *f, int64_t now_us)
 {
   lc_flow_pointers_disown (a, f);
-  lc_flow_table_remove (&a->table, f);
   a->counts.conflicts_total++;
+  /* Where backend servers return packets, the one here may hold the flow all the same: who asks is
+   * told to try it (lc-flow-finder.h). */
+  if (a->desc.is_returning && (f->flags & LC_FLOW_ANSWERED) != 0)
+    lc_flow_table_set_deadline (&a->table, f, now_us + a->desc.tcp_idle_us);
+  else
+    lc_flow_table_remove (&a->table, f);
 }
 
 void
 lc_flow_pointers_acked (LcFlowAgent *a, const LcFlowMessage *m, int64_t now_us)
 {
-  (void)now_us;
   for (uint32_t i = 0; i < m->n; i++)
     {
       const LcFlowKey *key = &m->entries[i].key;
@@ -250,7 +254,7 @@
         continue;
       if (m->entries[i].is_refused)
         {
-          lc_flow_pointers__give_up (a, f);
+          lc_flow_pointers__give_up (a, f, now_us);
           continue;
         }
       lc_flow_pointers__pick (a, &a->sets, f, &list);
@@ -296,18 +300,17 @@
 
 static void
 lc_flow_pointers__put (
-    LcFlowAgent *a, LcFlow *f, const LcFlowMessage *m, const LcFlowEntry *entry, int64_t now_us)
+    LcFlowAgent *a, LcFlow *f, const LcCandidate *owner, LcRevision revision, int64_t now_us)
 {
   if (f->kind == LC_FLOW_OWNED)
     lc_flow_pointers_disown (a, f);
   lc_flow_table_set_kind (&a->table, f, LC_FLOW_POINTER);
   f->flags |= LC_FLOW_CONFIRMED;
-  f->endpoint_id = m->load.agent.id;
-  f->instance = m->load.agent.instance;
-  f->ipv4 = m->load.agent.ipv4;
-  f->port = m->load.agent.port;
-  f->revision = m->load.revision;
-  f->epoch = entry->epoch;
+  f->endpoint_id = owner->id;
+  f->instance = owner->instance;
+  f->ipv4 = owner->ipv4;
+  f->port = owner->port;
+  f->revision = revision;
   lc_flow_table_set_deadline (&a->table, f, now_us + a->desc.refresh_us * 7 / 2);
 }
 
@@ -341,12 +344,36 @@
   if (f == NULL)
     return;
   if (!stands)
-    lc_flow_pointers__put (a, f, m, entry, now_us);
+    {
+      lc_flow_pointers__put (a, f, claimant, m->load.revision, now_us);
+      f->epoch = entry->epoch;
+    }
   ack = lc_flow_pointers_entry (a, LC_FLOW_POINTERS_ACK, claimant);
   ack->key = entry->key;
   ack->is_refused = stands;
 }
 
+bool
+lc_flow_pointers_learn (LcFlowAgent *a,
+                        const LcFlowKey *key,
+                        const LcCandidate *owner,
+                        LcRevision revision,
+                        int64_t now_us)
+{
+  uint64_t hash = lc_flow_key_hash (key);
+  LcFlow *f = lc_flow_table_find (&a->table, key, hash);
+
+  if (lc_candidate_equal (owner, &a->desc.self) ||
+      lc_flow_view_is_gone (a->view, owner, revision) || (f != NULL && f->kind == LC_FLOW_OWNED))
+    return false;
+  if (f == NULL)
+    f = lc_flow_table_add (&a->table, key, hash);
+  if (f == NULL)
+    return false;
+  lc_flow_pointers__put (a, f, owner, revision, now_us);
+  return true;
+}
+
 void
 lc_flow_pointers_register (LcFlowAgent *a, const LcFlowMessage *m, int64_t now_us)
 {
@@ -538,8 +565,10 @@
       const LcFlowKey *key = &m->entries[i].key;
       LcFlow *f = lc_flow_table_find (&a->table, key, lc_flow_key_hash (key));
 
-      if (f != NULL && f->kind == LC_FLOW_OWNED)
-        lc_flow_pointers__put (a, f, m, &m->entries[i], now_us);
+      if (f == NULL || f->kind != LC_FLOW_OWNED)
+        continue;
+      lc_flow_pointers__put (a, f, &m->load.agent, m->load.revision, now_us);
+      f->epoch = m->entries[i].epoch;
     }
 }
 
--- a/src/core/flow/lc-flow-pointers.h
+++ b/src/core/flow/lc-flow-pointers.h
@@ -48,6 +48,14 @@
   /* Ends ownership without a word to the homes. */
   void lc_flow_pointers_disown (LcFlowAgent *agent, LcFlow *flow);
 
+  /* Another agent says who owns the flow.  False: the flow is owned here, or the view knows that
+   * owner to be gone. */
+  bool lc_flow_pointers_learn (LcFlowAgent *agent,
+                               const LcFlowKey *key,
+                               const LcCandidate *owner,
+                               LcRevision revision,
+                               int64_t now_us);
+
   /* Room in a batch of messages of this kind to this agent. */
   LcFlowEntry *
   lc_flow_pointers_entry (LcFlowAgent *agent, LcFlowMessageKind kind, const LcCandidate *to);
--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -1,6 +1,7 @@
 #include "lc-flow-return.h"
 
 #include "lc-flow-agent-private.h"
+#include "lc-flow-finder.h"
 #include "lc-flow-pointers.h"
 
 #include <string.h>
@@ -12,10 +13,6 @@
   LC_FLOW_RETURN_HOPS = 8,      /* hops that a returned first packet costs: four endpoints see it */
 };
 
-/* A lost endpoint's flows count as gone after this time: it is longer than the lease, and than the
- * time after which a platform counts a cut-off VM as out of touch (4 to 5 s). */
-#define LC_FLOW_LOST_US (5 * LC_US_PER_S)
-
 /* === private: answers ======================================================================= */
 
 static LcFlowAction
@@ -24,66 +21,6 @@
   return (LcFlowAction){ .kind = LC_FLOW_ACTION_TRY, .try_mark = mark };
 }
 
-/* Endpoints whose word is waited for.  One that the view has lost may live and be cut off; after
- * LC_FLOW_LOST_US its callers are better served by a new flow. */
-static uint32_t
-lc_flow_return__awaited (const LcFlowAgent *a, int64_t now_us, LcEndpointId out[LC_FLOW_SEARCH_MAX])
-{
-  uint32_t n = 0;
-
-  for (uint32_t i = 0; i < a->assign.n_peers && n < LC_FLOW_SEARCH_MAX; i++)
-    {
-      const LcAssignPeer *p = &a->assign.peers[i];
-
-      if (p->lost_us == 0 || now_us - p->lost_us < LC_FLOW_LOST_US)
-        out[n++] = p->agent.id;
-    }
-  return n;
-}
-
-static void
-lc_flow_return__deny (
-    LcFlowAgent *a, const LcFlowKey *key, LcEndpointId by, LcRevision revision, int64_t now_us)
-{
-  LcPacket packet;
-
-  if (!lc_flow_search_deny (a->searches, key, by, revision, now_us, &packet))
-    return;
-  a->counts.denied_total++;
-  g_array_append_val (a->resets, packet);
-}
-
-static LcFlowAction
-lc_flow_return__search (LcFlowAgent *a, const LcPacket *packet, bool is_here, int64_t now_us)
-{
-  LcFlowAction action = { .kind = LC_FLOW_ACTION_SEARCH };
-  LcEndpointId awaited[LC_FLOW_SEARCH_MAX];
-  uint32_t n = lc_flow_return__awaited (a, now_us, awaited);
-
-  a->counts.searched_total++;
-  lc_flow_returners_lost (&a->returners, packet->key.source_ipv4, now_us);
-  /* In a service with more endpoints than are asked, nobody can say that none holds the flow. */
-  if (n < LC_FLOW_SEARCH_MAX)
-    lc_flow_search_begin (a->searches, packet, awaited, n, a->view->revision, now_us);
-  if (!is_here)
-    lc_flow_return__deny (a, &packet->key, a->desc.self.id, a->view->revision, now_us);
-  action.is_here = is_here;
-  return action;
-}
-
-/* The backend server here does not hold a flow that another agent, or this one, searches for. */
-static LcFlowAction
-lc_flow_return__answer_search (LcFlowAgent *a, const LcPacket *packet, int64_t now_us)
-{
-  const LcAssignPeer *peer = lc_assign_peer (&a->assign, packet->mark);
-
-  if (packet->mark == a->desc.self.id)
-    lc_flow_return__deny (a, &packet->key, a->desc.self.id, a->view->revision, now_us);
-  else if (peer != NULL)
-    lc_flow_pointers_entry (a, LC_FLOW_DENIED, &peer->agent)->key = packet->key;
-  return lc_flow_agent__drop (a, LC_DROP_NO_OWNER);
-}
-
 /* Nobody can take the flow: the drop, counted already, becomes a reset where that is true.  Only a
  * first packet that was not sent before may be answered so: an earlier copy may have opened the
  * flow meanwhile. */
@@ -228,7 +165,8 @@
 static void
 lc_flow_return__remind_homes (LcFlowAgent *a, LcFlow *f, const LcEnvelope *e)
 {
-  bool is_detour = e->mode == LC_MODE_SEARCH || (e->mode == LC_MODE_WALK && e->hop > 0);
+  bool is_detour = e->mode == LC_MODE_SEARCH || e->mode == LC_MODE_FIND ||
+                   (e->mode == LC_MODE_WALK && e->hop > 0);
 
   if (e->dc != 0 && e->dc != f->dc)
     {
@@ -298,11 +236,30 @@
   if (packet->may_open)
     return lc_flow_return__assign (a, e, f, packet, now_us);
   if (e->hop + 1 >= e->n)
-    return lc_flow_return__search (a, packet, true, now_us);
+    return lc_flow_finder_walk_ended (a, e, packet, now_us);
   e->hop++;
   return lc_flow_agent__send (a, e, LC_MODE_WALK, &e->candidates[e->hop]);
 }
 
+/* Another agent has sent the packet here to be searched for; an earlier search may have found its
+ * owner. */
+static LcFlowAction
+lc_flow_return__find (
+    LcFlowAgent *a, LcEnvelope *e, LcFlow *f, const LcPacket *packet, int64_t now_us)
+{
+  LcSteerKnown known = lc_flow_agent__known (a, f);
+
+  if (packet->may_open)
+    return lc_flow_agent__drop (a, LC_DROP_NO_OWNER);
+  if (known.kind == LC_FLOW_POINTER && known.is_live &&
+      !lc_candidate_equal (&known.other, &a->desc.self))
+    {
+      lc_flow_finder_tell (a, e->stray_id, &packet->key);
+      return lc_flow_agent__send (a, e, LC_MODE_OWNER, &known.other);
+    }
+  return lc_flow_finder_search (a, packet, false, e->stray_id, now_us);
+}
+
 /* === public ================================================================================= */
 
 LcFlowAction
@@ -342,6 +299,8 @@
       if (packet->may_open)
         return lc_flow_return__assign (a, e, f, packet, now_us);
       return lc_flow_agent__drop (a, LC_DROP_NO_OWNER);
+    case LC_MODE_FIND:
+      return lc_flow_return__find (a, e, f, packet, now_us);
     case LC_MODE_SEARCH:
       if (packet->may_open)
         return lc_flow_agent__drop (a, LC_DROP_NO_OWNER);
@@ -372,8 +331,8 @@
   lc_flow_return__disown (
       a, lc_flow_table_find (&a->table, &packet->key, lc_flow_key_hash (&packet->key)));
   if (!packet->may_open)
-    return packet->mark != LC_FLOW_MARK_NONE ? lc_flow_return__answer_search (a, packet, now_us)
-                                             : lc_flow_return__search (a, packet, false, now_us);
+    return packet->mark != LC_FLOW_MARK_NONE ? lc_flow_finder_tried (a, packet, now_us)
+                                             : lc_flow_finder_search (a, packet, true, 0, now_us);
   if (packet->mark <= LC_FLOW_RETURN_HOPS || packet->mark > LC_ENVELOPE_HOPS)
     return lc_flow_return__fail (lc_flow_agent__drop (a, LC_DROP_LIMIT), packet);
   lc_flow_return_search (a, &a->desc.self, e);
@@ -451,13 +410,6 @@
   return answer;
 }
 
-void
-lc_flow_return_denied (LcFlowAgent *a, const LcFlowMessage *m, int64_t now_us)
-{
-  for (uint32_t i = 0; a->searches != NULL && i < m->n; i++)
-    lc_flow_return__deny (a, &m->entries[i].key, m->load.agent.id, m->load.revision, now_us);
-}
-
 bool
 lc_flow_return_next_held (LcFlowAgent *a, LcFlowHeld *held, int64_t now_us)
 {
@@ -490,19 +442,3 @@
   g_array_set_size (a->resets, a->resets->len - 1);
   return true;
 }
-
-uint32_t
-lc_flow_return_others (const LcFlowAgent *a, uint64_t key_hash, LcCandidate out[LC_FLOW_SEARCH_MAX])
-{
-  uint32_t n_peers = a->assign.n_peers;
-  uint32_t n = 0;
-
-  for (uint32_t k = 0; k < n_peers && n < LC_FLOW_SEARCH_MAX; k++)
-    {
-      const LcAssignPeer *p = &a->assign.peers[(key_hash + k) % n_peers];
-
-      if (p->agent.id != a->desc.self.id)
-        out[n++] = p->agent;
-    }
-  return n;
-}
--- a/src/core/flow/lc-flow-return.h
+++ b/src/core/flow/lc-flow-return.h
@@ -6,11 +6,11 @@
  *   settled before a flow may be assigned, and an agent that knows nothing, for example after a
  *   restart, can ask:
  *     - a first packet is assigned by the first home that it reaches;
- *     - another packet goes to the owner that a home knows; if no home knows one, it is tried here
- *       and sent to every other agent of the service (a search), each of which tries it once;
+ *     - another packet goes to the owner that a home knows; if no home knows one, the owner is
+ *       searched for (lc-flow-finder.h);
  *     - what is returned loses its entry here and is searched for, or assigned to another endpoint;
- *     - when every backend server has denied a flow in a search, its caller is told by a reset: it
- *       need not wait for what will never come (lc-flow-search.h);
+ *     - when a search has accounted for every backend server, the caller is told by a reset: it
+ * need not wait for what will never come;
  *     - an answer of the backend server proves that it holds the flow: the agent then owns it and
  *       registers it with the homes.
  *   Two endpoints that both accept copies of a first packet do no harm: the caller goes on with
@@ -20,16 +20,10 @@
  *   Through lc_flow_agent_packet when desc.is_returning is set, and
  *     action = lc_flow_return_returned (&agent, &envelope, &packet, now_us);
  *     lc_flow_return_answered (&agent, &packet, now_us);
- *     n = lc_flow_return_others (&agent, others, LC_FLOW_SEARCH_MAX);    of LC_FLOW_ACTION_SEARCH
  *     while (lc_flow_return_next_held (&agent, &held, now_us))
  *       give the packets held for held.flow to the backend server, or drop them
  *     while (lc_flow_return_next_reset (&agent, &packet))
  *       answer the packet with a reset
- *
- * LIMITS
- *   A search goes to LC_FLOW_SEARCH_MAX endpoints at most.  Larger services rely on the pointers at
- *   the homes, which a search only stands in for; their searches begin at a place that the flow's
- *   hash gives, so that copies of a packet ask the same ones.
  */
 #ifndef LC_FLOW_RETURN_H
 #define LC_FLOW_RETURN_H
@@ -63,12 +57,6 @@
   LcFlowAnswer lc_flow_return_answered (LcFlowAgent *agent, const LcPacket *packet, int64_t now_us);
   /* The key of the flow that a packet of the backend server belongs to: the caller's own. */
   LcFlowKey lc_flow_return_key (const LcPacket *packet);
-  /* Whom a search asks: every other endpoint of the service, in whatever state. */
-  uint32_t lc_flow_return_others (const LcFlowAgent *agent,
-                                  uint64_t key_hash,
-                                  LcCandidate out[LC_FLOW_SEARCH_MAX]);
-  /* An agent that was asked says that its backend server does not hold these flows. */
-  void lc_flow_return_denied (LcFlowAgent *agent, const LcFlowMessage *message, int64_t now_us);
   /* What becomes of packets that LC_FLOW_ACTION_HOLD kept, after each packet and each tick; false:
    * nothing now. */
   bool lc_flow_return_next_held (LcFlowAgent *agent, LcFlowHeld *held, int64_t now_us);
--- a/src/core/flow/lc-flow-search.c
+++ b/src/core/flow/lc-flow-search.c
@@ -2,66 +2,470 @@
 
 #include <string.h>
 
-static LcFlowSearch *
-lc_flow_search__slot (LcFlowSearches *s, const LcFlowKey *key)
+enum
+{
+  LC_FLOW_SEARCH_WAYS = 8,  /* places that a flow's search may have */
+  LC_FLOW_SEARCH_WORD = 64, /* members in a word of LcFlowMemberSet */
+};
+
+/* === private: sets of members =============================================================== */
+
+static bool
+lc_flow_search__has (const LcFlowMemberSet *set, uint32_t i)
+{
+  return (set->words[i / LC_FLOW_SEARCH_WORD] >> (i % LC_FLOW_SEARCH_WORD) & 1U) != 0;
+}
+
+static void
+lc_flow_search__add (LcFlowMemberSet *set, uint32_t i)
+{
+  set->words[i / LC_FLOW_SEARCH_WORD] |= (uint64_t)1 << (i % LC_FLOW_SEARCH_WORD);
+}
+
+static uint32_t
+lc_flow_search__n_listed (const LcFlowSearches *s)
 {
-  return &s->slots[lc_flow_key_hash (key) % LC_FLOW_SEARCHES];
+  return MIN (s->n_members, (uint32_t)LC_FLOW_SEARCH_MEMBERS);
 }
 
+/* The member's place; -1: it is none, or another start of it is. */
+static int
+lc_flow_search__place (const LcFlowSearches *s, const LcFlowSearchMember *member)
+{
+  uint32_t low = 0;
+  uint32_t high = lc_flow_search__n_listed (s);
+
+  while (low < high)
+    {
+      uint32_t mid = low + (high - low) / 2;
+
+      if (s->members[mid].id < member->id)
+        low = mid + 1;
+      else
+        high = mid;
+    }
+  return low < lc_flow_search__n_listed (s) && s->members[low].id == member->id &&
+                 s->members[low].instance == member->instance
+             ? (int)low
+             : -1;
+}
+
+/* The same members at their places in the present list; those that are there no more are left out.
+ */
+static LcFlowMemberSet
+lc_flow_search__moved (const LcFlowSearches *s,
+                       const LcFlowMemberSet *set,
+                       const LcFlowSearchMember *before,
+                       uint32_t n_before)
+{
+  LcFlowMemberSet moved = { 0 };
+
+  for (uint32_t i = 0; i < MIN (n_before, (uint32_t)LC_FLOW_SEARCH_MEMBERS); i++)
+    {
+      int at = lc_flow_search__has (set, i) ? lc_flow_search__place (s, &before[i]) : -1;
+
+      if (at >= 0)
+        lc_flow_search__add (&moved, (uint32_t)at);
+    }
+  return moved;
+}
+
+static bool
+lc_flow_search__has_all (const LcFlowSearches *s, const LcFlowMemberSet *set)
+{
+  uint32_t n = s->n_members;
+
+  if (n == 0 || n > LC_FLOW_SEARCH_MEMBERS)
+    return false;
+  for (uint32_t i = 0; i < n / LC_FLOW_SEARCH_WORD; i++)
+    if (set->words[i] != UINT64_MAX)
+      return false;
+  return n % LC_FLOW_SEARCH_WORD == 0 ||
+         set->words[n / LC_FLOW_SEARCH_WORD] == ((uint64_t)1 << (n % LC_FLOW_SEARCH_WORD)) - 1;
+}
+
+/* === private: searches ====================================================================== */
+
 static bool
-lc_flow_search__is_running (const LcFlowSearch *s, const LcFlowKey *key, int64_t now_us)
+lc_flow_search__is_running (const LcFlowSearch *s, int64_t now_us)
+{
+  return s->is_used && now_us - s->started_us < LC_FLOW_SEARCH_US;
+}
+
+static LcFlowSearch *
+lc_flow_search__find (LcFlowSearches *s, const LcFlowKey *key)
+{
+  uint64_t hash = lc_flow_key_hash (key);
+
+  for (uint64_t way = 0; way < LC_FLOW_SEARCH_WAYS && s->slots != NULL; way++)
+    {
+      LcFlowSearch *search = &s->slots[(hash + way) % LC_FLOW_SEARCHES];
+
+      if (search->is_used && lc_flow_key_equal (&search->packet.key, key))
+        return search;
+    }
+  return NULL;
+}
+
+static LcFlowSearch *
+lc_flow_search__oldest (LcFlowSearches *s, const LcFlowKey *key)
 {
-  return s->is_used && lc_flow_key_equal (&s->packet.key, key) &&
-         now_us - s->started_us < LC_FLOW_SEARCH_US;
+  uint64_t hash = lc_flow_key_hash (key);
+  LcFlowSearch *oldest = &s->slots[hash % LC_FLOW_SEARCHES];
+
+  for (uint64_t way = 0; way < LC_FLOW_SEARCH_WAYS && oldest->is_used; way++)
+    {
+      LcFlowSearch *search = &s->slots[(hash + way) % LC_FLOW_SEARCHES];
+
+      if (!search->is_used || search->started_us < oldest->started_us)
+        oldest = search;
+    }
+  return oldest;
 }
 
+static void
+lc_flow_search__end (LcFlowSearches *s, LcFlowSearch *search)
+{
+  if (!search->is_used)
+    return;
+  s->n_unasked -= search->round == 0;
+  s->n_used--;
+  search->is_used = false;
+}
+
+/* An endpoint of a newer set, which is not known here, may hold the flow. */
+static void
+lc_flow_search__end_if_lost (LcFlowSearches *s, LcFlowSearch *search)
+{
+  if (!search->is_used || search->newest > s->membership ||
+      !lc_flow_search__has_all (s, &search->cleared))
+    return;
+  g_array_append_val (s->lost, search->packet);
+  lc_flow_search__end (s, search);
+}
+
+/* === private: rounds ======================================================================== */
+
+static LcFlowRound *
+lc_flow_search__round_of (LcFlowSearches *s, uint32_t id)
+{
+  for (int i = 0; i < LC_FLOW_ROUNDS && id != 0; i++)
+    if (s->rounds[i].id == id)
+      return &s->rounds[i];
+  return NULL;
+}
+
+/* A round ends when every member has spoken, or its searches have. */
+static void
+lc_flow_search__end_rounds (LcFlowSearches *s, int64_t now_us)
+{
+  for (int i = 0; i < LC_FLOW_ROUNDS; i++)
+    {
+      LcFlowRound *r = &s->rounds[i];
+
+      if (r->id != 0 && (now_us - r->started_us >= LC_FLOW_SEARCH_US ||
+                         lc_flow_search__has_all (s, &r->answered)))
+        r->id = 0;
+    }
+}
+
+static void
+lc_flow_search__end_late (LcFlowSearches *s, int64_t now_us)
+{
+  for (uint32_t i = 0; i < LC_FLOW_SEARCHES && s->n_used > 0; i++)
+    if (s->slots[i].is_used && !lc_flow_search__is_running (&s->slots[i], now_us))
+      lc_flow_search__end (s, &s->slots[i]);
+}
+
+static LcFlowRound *
+lc_flow_search__free_round (LcFlowSearches *s)
+{
+  for (int i = 0; i < LC_FLOW_ROUNDS; i++)
+    if (s->rounds[i].id == 0)
+      return &s->rounds[i];
+  return NULL;
+}
+
+static void
+lc_flow_search__fill_round (LcFlowSearches *s, LcFlowRound *round, int64_t now_us)
+{
+  memset (round, 0, sizeof *round);
+  round->id = ++s->last_round != 0 ? s->last_round : ++s->last_round;
+  round->started_us = now_us;
+  for (uint32_t i = 0; i < LC_FLOW_SEARCHES && round->n < LC_FLOW_ROUND_KEYS; i++)
+    {
+      LcFlowSearch *search = &s->slots[i];
+
+      if (!search->is_used || search->round != 0)
+        continue;
+      search->round = round->id;
+      s->n_unasked--;
+      round->keys[round->n++] = search->packet.key;
+    }
+}
+
+/* === public ================================================================================= */
+
 void
-lc_flow_search_begin (LcFlowSearches *searches,
-                      const LcPacket *packet,
-                      const LcEndpointId *ids,
-                      uint32_t n,
-                      LcRevision revision,
+lc_flow_searches_init (LcFlowSearches *s, int64_t now_us)
+{
+  memset (s, 0, sizeof *s);
+  s->last_round = (uint32_t)now_us;
+  s->round_us = now_us - LC_FLOW_ROUND_US;
+  s->lost = g_array_new (FALSE, FALSE, sizeof (LcPacket));
+}
+
+void
+lc_flow_searches_finish (LcFlowSearches *s)
+{
+  g_free (s->members);
+  g_free (s->slots);
+  g_array_unref (s->lost);
+  memset (s, 0, sizeof *s);
+}
+
+bool
+lc_flow_searches_has_members (const LcFlowSearches *s,
+                              const LcFlowSearchMember *members,
+                              uint32_t n,
+                              LcRevision membership)
+{
+  if (s->n_members != n || s->membership != membership)
+    return false;
+  for (uint32_t i = 0; i < n; i++)
+    if (s->members[i].id != members[i].id || s->members[i].instance != members[i].instance)
+      return false;
+  return true;
+}
+
+void
+lc_flow_searches_set_members (LcFlowSearches *s,
+                              const LcFlowSearchMember *members,
+                              uint32_t n,
+                              LcRevision membership)
+{
+  LcFlowSearchMember *before = s->members;
+  uint32_t n_before = s->n_members;
+
+  s->members = n > 0 ? g_memdup2 (members, n * sizeof *members) : NULL;
+  s->n_members = n;
+  s->membership = membership;
+  for (int i = 0; i < LC_FLOW_ROUNDS; i++)
+    if (s->rounds[i].id != 0)
+      s->rounds[i].answered = lc_flow_search__moved (s, &s->rounds[i].answered, before, n_before);
+  for (uint32_t i = 0; i < LC_FLOW_SEARCHES && s->n_used > 0; i++)
+    {
+      LcFlowSearch *search = &s->slots[i];
+
+      if (!search->is_used)
+        continue;
+      search->cleared = lc_flow_search__moved (s, &search->cleared, before, n_before);
+      search->tried = lc_flow_search__moved (s, &search->tried, before, n_before);
+      search->doubted = lc_flow_search__moved (s, &search->doubted, before, n_before);
+      lc_flow_search__end_if_lost (s, search);
+    }
+  g_free (before);
+}
+
+LcFlowSearch *
+lc_flow_search_begin (LcFlowSearches *s, const LcPacket *packet, int64_t now_us)
+{
+  LcFlowSearch *search = lc_flow_search__find (s, &packet->key);
+
+  if (search != NULL && lc_flow_search__is_running (search, now_us))
+    {
+      search->packet = *packet;
+      return search;
+    }
+  if (s->slots == NULL)
+    s->slots = g_new0 (LcFlowSearch, LC_FLOW_SEARCHES);
+  if (search == NULL)
+    search = lc_flow_search__oldest (s, &packet->key);
+  lc_flow_search__end (s, search);
+  memset (search, 0, sizeof *search);
+  search->is_used = true;
+  search->packet = *packet;
+  search->started_us = now_us;
+  s->n_unasked++;
+  s->n_used++;
+  return search;
+}
+
+/* Gives the packet to the next of those members that may have it and are not in `spared`. */
+static uint32_t
+lc_flow_search__pick (const LcFlowSearches *s,
+                      LcFlowSearch *search,
+                      const LcFlowMemberSet *spared,
+                      bool (*may_try) (void *user, LcEndpointId id),
+                      void *user,
+                      LcEndpointId out[LC_FLOW_SEARCH_MAX])
+{
+  uint32_t n_listed = lc_flow_search__n_listed (s);
+  uint64_t first = lc_flow_key_hash (&search->packet.key);
+  uint32_t n = 0;
+
+  for (uint32_t k = 0; k < n_listed && n < LC_FLOW_SEARCH_MAX; k++)
+    {
+      uint32_t i = (uint32_t)((first + k) % n_listed);
+
+      if ((spared != NULL && lc_flow_search__has (spared, i)) ||
+          lc_flow_search__has (&search->tried, i) ||
+          (!lc_flow_search__has (&search->doubted, i) && !may_try (user, s->members[i].id)))
+        continue;
+      lc_flow_search__add (&search->tried, i);
+      out[n++] = s->members[i].id;
+    }
+  return n;
+}
+
+uint32_t
+lc_flow_search_try (const LcFlowSearches *s,
+                    LcFlowSearch *search,
+                    LcFlowSearchTurn turn,
+                    bool (*may_try) (void *user, LcEndpointId id),
+                    void *user,
+                    LcEndpointId out[LC_FLOW_SEARCH_MAX])
+{
+  uint32_t n = 0;
+
+  if (turn != LC_FLOW_SEARCH_ALL)
+    n = lc_flow_search__pick (s, search, &search->cleared, may_try, user, out);
+  if (n > 0 || turn == LC_FLOW_SEARCH_NEXT)
+    return n;
+  memset (&search->tried, 0, sizeof search->tried);
+  return lc_flow_search__pick (s, search, NULL, may_try, user, out);
+}
+
+LcFlowSearch *
+lc_flow_search_at (LcFlowSearches *s, uint32_t place, int64_t now_us)
+{
+  if (s->n_used == 0 || !lc_flow_search__is_running (&s->slots[place], now_us))
+    return NULL;
+  return &s->slots[place];
+}
+
+uint32_t
+lc_flow_search_place (const LcFlowSearches *s, const LcFlowSearch *search)
+{
+  return (uint32_t)(search - s->slots);
+}
+
+void
+lc_flow_search_clear (LcFlowSearches *s,
+                      const LcFlowKey *key,
+                      const LcFlowSearchMember *member,
+                      LcRevision membership,
                       int64_t now_us)
 {
-  LcFlowSearch *s = lc_flow_search__slot (searches, &packet->key);
-  bool is_running = lc_flow_search__is_running (s, &packet->key, now_us);
+  LcFlowSearch *search = lc_flow_search__find (s, key);
+  int place = lc_flow_search__place (s, member);
 
-  s->packet = *packet;
-  if (is_running)
+  if (search == NULL || place < 0 || !lc_flow_search__is_running (search, now_us))
     return;
-  s->is_used = true;
-  s->revision = revision;
-  s->started_us = now_us;
-  s->n_waiting = n < LC_FLOW_SEARCH_MAX ? n : LC_FLOW_SEARCH_MAX;
-  memcpy (s->waiting, ids, s->n_waiting * sizeof *ids);
+  lc_flow_search__add (&search->cleared, (uint32_t)place);
+  search->newest = MAX (search->newest, membership);
+  lc_flow_search__end_if_lost (s, search);
+}
+
+void
+lc_flow_search_doubt (LcFlowSearches *s, const LcFlowKey *key, const LcFlowSearchMember *member)
+{
+  LcFlowSearch *search = lc_flow_search__find (s, key);
+  int place = lc_flow_search__place (s, member);
+
+  if (search != NULL && place >= 0)
+    lc_flow_search__add (&search->doubted, (uint32_t)place);
+}
+
+bool
+lc_flow_search_is_running (LcFlowSearches *s, const LcFlowKey *key, int64_t now_us)
+{
+  LcFlowSearch *search = lc_flow_search__find (s, key);
+
+  return search != NULL && lc_flow_search__is_running (search, now_us);
 }
 
 bool
-lc_flow_search_deny (LcFlowSearches *searches,
-                     const LcFlowKey *key,
-                     LcEndpointId id,
-                     LcRevision revision,
-                     int64_t now_us,
-                     LcPacket *packet)
+lc_flow_search_found (LcFlowSearches *s, const LcFlowKey *key, uint32_t *place)
 {
-  LcFlowSearch *s = lc_flow_search__slot (searches, key);
+  LcFlowSearch *search = lc_flow_search__find (s, key);
 
-  if (!lc_flow_search__is_running (s, key, now_us))
+  if (search == NULL)
     return false;
-  if (revision > s->revision)
+  *place = lc_flow_search_place (s, search);
+  lc_flow_search__end (s, search);
+  return true;
+}
+
+const LcFlowRound *
+lc_flow_search_round (LcFlowSearches *s, int64_t now_us)
+{
+  LcFlowRound *round;
+
+  lc_flow_search__end_rounds (s, now_us);
+  lc_flow_search__end_late (s, now_us);
+  for (int i = 0; i < LC_FLOW_ROUNDS; i++)
     {
-      s->is_used = false;
-      return false;
+      round = &s->rounds[i];
+      if (round->id != 0 && now_us - round->sent_us >= LC_FLOW_ROUND_RETRY_US)
+        {
+          round->sent_us = now_us;
+          return round;
+        }
+    }
+  round = lc_flow_search__free_round (s);
+  if (s->n_unasked == 0 || round == NULL || now_us - s->round_us < LC_FLOW_ROUND_US)
+    return NULL;
+  lc_flow_search__fill_round (s, round, now_us);
+  round->sent_us = now_us;
+  s->round_us = now_us;
+  return round;
+}
+
+bool
+lc_flow_search_is_asked (const LcFlowRound *round, uint32_t member)
+{
+  return member < LC_FLOW_SEARCH_MEMBERS && !lc_flow_search__has (&round->answered, member);
+}
+
+void
+lc_flow_search_answer (LcFlowSearches *s,
+                       uint32_t id,
+                       const LcFlowSearchMember *member,
+                       LcRevision membership,
+                       int64_t now_us)
+{
+  LcFlowRound *round = lc_flow_search__round_of (s, id);
+  int place = lc_flow_search__place (s, member);
+
+  if (round == NULL || place < 0)
+    return;
+  lc_flow_search__add (&round->answered, (uint32_t)place);
+  for (uint32_t i = 0; i < round->n; i++)
+    {
+      LcFlowSearch *search = lc_flow_search__find (s, &round->keys[i]);
+
+      if (search != NULL && !lc_flow_search__has (&search->doubted, (uint32_t)place))
+        lc_flow_search_clear (s, &round->keys[i], member, membership, now_us);
     }
-  for (uint32_t i = 0; i < s->n_waiting; i++)
-    if (s->waiting[i] == id)
-      {
-        s->waiting[i] = s->waiting[--s->n_waiting];
-        if (s->n_waiting > 0)
-          return false;
-        *packet = s->packet;
-        s->is_used = false;
-        return true;
-      }
-  return false;
+}
+
+void
+lc_flow_search_cannot_say (LcFlowSearches *s, uint32_t id, const LcFlowSearchMember *member)
+{
+  LcFlowRound *round = lc_flow_search__round_of (s, id);
+  int place = lc_flow_search__place (s, member);
+
+  if (round != NULL && place >= 0)
+    lc_flow_search__add (&round->answered, (uint32_t)place);
+}
+
+bool
+lc_flow_search_next_lost (LcFlowSearches *s, LcPacket *packet)
+{
+  if (s->lost->len == 0)
+    return false;
+  *packet = g_array_index (s->lost, LcPacket, s->lost->len - 1);
+  g_array_set_size (s->lost, s->lost->len - 1);
+  return true;
 }
--- a/src/io/lc-flow-wire.c
+++ b/src/io/lc-flow-wire.c
@@ -17,6 +17,7 @@
   w->protocol = e->key.protocol;
   w->is_end = e->is_end;
   w->is_refused = e->is_refused;
+  w->is_unsure = e->is_unsure;
   w->epoch = e->epoch;
   w->backend_id = e->backend_id;
   w->backend_instance = e->backend_instance;
@@ -36,6 +37,7 @@
   e->key.protocol = (uint8_t)w->protocol;
   e->is_end = w->is_end;
   e->is_refused = w->is_refused;
+  e->is_unsure = w->is_unsure;
   e->epoch = w->epoch;
   e->backend_id = w->backend_id;
   e->backend_instance = w->backend_instance;
@@ -67,6 +69,9 @@
   w.is_accepting = m->load.is_accepting;
   w.looks_bad = m->load.looks_bad;
   w.is_warm = m->load.is_warm;
+  w.knowledge = m->load.knowledge;
+  w.membership = m->membership;
+  w.round = m->round;
   w.to_id = m->to.id;
   w.to_instance = m->to.instance;
   w.n_entries = m->n;
@@ -97,6 +102,9 @@
   m->load.is_accepting = w->is_accepting;
   m->load.looks_bad = w->looks_bad;
   m->load.is_warm = w->is_warm;
+  m->load.knowledge = (LcFlowKnowledge)w->knowledge;
+  m->membership = w->membership;
+  m->round = w->round;
   m->to.id = w->to_id;
   m->to.instance = w->to_instance;
   m->n = (uint32_t)w->n_entries;
--- a/tests/flow/prop-flow-return.cc
+++ b/tests/flow/prop-flow-return.cc
@@ -25,6 +25,10 @@
   N_KINDS
 };
 
+/* A service large enough for its owners to be asked for in rounds. */
+const int N_ROUNDS = 40;
+const int N_COPIES = 5; /* of a packet: 0, 0.2, 0.6, 1.4 and 3 s after the first */
+
 /* So few that events often meet at one. */
 const uint32_t FEW_FLOWS = 3;
 
@@ -53,8 +57,8 @@
 {
   uint32_t n = 0;
 
-  for (const RwNode &node : w.nodes)
-    n += node.n_delivered;
+  for (int i = 0; i < w.n_agents; i++)
+    n += w.nodes[i].n_delivered;
   return n;
 }
 
@@ -72,6 +76,26 @@
     RC_ASSERT (delivered (w) > before);
 }
 
+/* The same where the owner is asked for: one of the packet's copies reaches it. */
+void
+send_copies (RwWorld &w, uint32_t flow)
+{
+  LcPacket p = rw_packet_of (flow, false);
+  uint32_t before = delivered (w);
+  int r = 0;
+
+  if (rw_n_held (&w, flow) == 0)
+    return;
+  for (int copy = 0; copy < N_COPIES && r == 0 && delivered (w) == before; copy++)
+    {
+      r = rw_send (&w, &p);
+      for (int64_t us = 0; us < (200 << copy) * LC_US_PER_MS; us += LC_FLOW_AGENT_TICK_US)
+        rw_pass (&w, LC_FLOW_AGENT_TICK_US);
+    }
+  if (r == 0)
+    RC_ASSERT (delivered (w) > before);
+}
+
 void
 open_flow (RwWorld &w, uint32_t flow)
 {
@@ -85,7 +109,7 @@
 carry_out (RwWorld &w, const Step &s)
 {
   uint32_t flow = s.subject % FEW_FLOWS;
-  int node = (int)(s.subject % RW_N_AGENTS);
+  int node = (int)(s.subject % (uint32_t)w.n_agents);
 
   switch (s.kind)
     {
@@ -93,7 +117,10 @@
       open_flow (w, flow);
       break;
     case DATA:
-      send_data (w, flow);
+      if (w.n_agents > N_ROUNDS)
+        send_copies (w, flow);
+      else
+        send_data (w, flow);
       break;
     case RESTART:
       rw_restart_agent (&w, node);
@@ -147,5 +174,23 @@
     RC_ASSERT (rw_take_resets (&w) == 0U);
     rw_stop (&w);
   });
+  ok &= rc::check ("so it is in a large service, where owners are asked for in rounds", [] {
+    const auto order = *steps ();
+    RwWorld w;
+
+    rw_start_sized (&w, N_ROUNDS, N_ROUNDS + 5, true);
+    w.idle_us = 20 * LC_US_PER_S;
+    for (const Step &s : order)
+      {
+        carry_out (w, s);
+        (void)rw_take_resets (&w); /* asserts that nobody holds the flow of a reset */
+      }
+    rw_show_view (&w);
+    rw_settle (&w);
+    for (uint32_t f = 0; f < FEW_FLOWS; f++)
+      send_copies (w, f);
+    RC_ASSERT (rw_take_resets (&w) == 0U);
+    rw_stop (&w);
+  });
   return ok ? 0 : 1;
 }
--- a/tests/flow/return-world.c
+++ b/tests/flow/return-world.c
@@ -60,12 +60,19 @@
   lc_view_snapshot (from, rw_copy_op, to);
 }
 
+static const LcView *
+rw_seen (const RwWorld *w, int i)
+{
+  return w->n_agents < RW_LARGE ? &w->seen[i] : &w->view;
+}
+
 void
 rw_show_agent (RwWorld *w, int i)
 {
-  rw_copy_view (&w->seen[i], &w->view);
+  if (w->n_agents < RW_LARGE)
+    rw_copy_view (&w->seen[i], &w->view);
   if (w->nodes[i].is_up)
-    lc_flow_agent_set_view (&w->nodes[i].agent, &w->seen[i], w->now_us);
+    lc_flow_agent_set_view (&w->nodes[i].agent, rw_seen (w, i), w->now_us);
 }
 
 void
@@ -78,22 +85,24 @@
 void
 rw_show_view (RwWorld *w)
 {
-  for (int i = 0; i < RW_N_AGENTS; i++)
+  for (int i = 0; i < w->n_agents; i++)
     rw_show_agent (w, i);
   rw_show_balancer (w);
 }
 
 static void
-rw_start_agent (RwWorld *w, int i)
+rw_start_agent (RwWorld *w, int i, bool is_fresh)
 {
   LcFlowAgentDesc desc = { .self = { (LcEndpointId)(i + 1), (uint32_t)i, (LcInstance)(100 + i),
                                      7100 },
                            .service_id = 1,
+                           .tcp_idle_us = w->idle_us,
+                           .is_fresh = is_fresh,
                            .is_returning = true };
 
   lc_flow_agent_init (&w->nodes[i].agent, &desc, w->now_us);
   w->nodes[i].is_up = true;
-  lc_flow_agent_set_view (&w->nodes[i].agent, &w->seen[i], w->now_us);
+  lc_flow_agent_set_view (&w->nodes[i].agent, rw_seen (w, i), w->now_us);
 }
 
 /* The process beside the backend server starts again; what that one holds stays. */
@@ -101,19 +110,29 @@
 rw_restart_agent (RwWorld *w, int i)
 {
   lc_flow_agent_finish (&w->nodes[i].agent);
-  rw_start_agent (w, i);
+  rw_start_agent (w, i, false);
 }
 
 void
 rw_start (RwWorld *w, int n)
 {
-  LcViewOp service = { .kind = LC_VIEW_SERVICE, .service = { .id = 1, .name = "desk" } };
+  rw_start_sized (w, n, RW_N_AGENTS, false);
+}
+
+void
+rw_start_sized (RwWorld *w, int n, int n_agents, bool is_fresh)
+{
+  LcViewOp service = { .kind = LC_VIEW_SERVICE, .service = { .id = 1, .name = "desk", .returns_packets = true } };
   LcViewOp address = { .kind = LC_VIEW_ADDRESS };
 
   memset (w, 0, sizeof *w);
+  w->n_agents = n_agents;
+  w->max_steps = RW_MAX_STEPS + 2 * (uint32_t)n_agents;
+  w->nodes = g_new0 (RwNode, n_agents);
+  w->seen = g_new0 (LcView, n_agents);
   lc_view_init (&w->view);
   lc_view_init (&w->balancer_view);
-  for (int i = 0; i < RW_N_AGENTS; i++)
+  for (int i = 0; i < w->n_agents; i++)
     lc_view_init (&w->seen[i]);
   rw_apply (w, &service);
   address.address = (LcAddress){ 0xc6120001, 443, LC_PROTOCOL_TCP, 1 };
@@ -122,15 +141,15 @@
     rw_put_endpoint (w, i, LC_ENDPOINT_ACTIVE);
   lc_flow_balancer_init (&w->balancer, 0);
   lc_flow_balancer_set_returning (&w->balancer, true);
-  for (int i = 0; i < RW_N_AGENTS; i++)
-    rw_start_agent (w, i);
+  for (int i = 0; i < w->n_agents; i++)
+    rw_start_agent (w, i, is_fresh);
   rw_show_view (w);
 }
 
 void
 rw_stop (RwWorld *w)
 {
-  for (int i = 0; i < RW_N_AGENTS; i++)
+  for (int i = 0; i < w->n_agents; i++)
     {
       lc_flow_agent_finish (&w->nodes[i].agent);
       lc_view_finish (&w->seen[i]);
@@ -138,6 +157,10 @@
   lc_view_finish (&w->balancer_view);
   lc_flow_balancer_finish (&w->balancer);
   lc_view_finish (&w->view);
+  for (int i = 0; i < w->n_agents; i++)
+    g_free (w->nodes[i].kept);
+  g_free (w->nodes);
+  g_free (w->seen);
 }
 
 uint32_t
@@ -145,7 +168,7 @@
 {
   uint32_t n = 0;
 
-  for (int i = 0; i < RW_N_AGENTS; i++)
+  for (int i = 0; i < w->n_agents; i++)
     n += w->nodes[i].holds[flow];
   return n;
 }
@@ -211,7 +234,7 @@
 {
   LcFlowAction action;
 
-  g_assert (w->n_steps++ < RW_MAX_STEPS);
+  g_assert (w->n_steps++ < w->max_steps);
   if (!w->nodes[at].is_up)
     return;
   action = lc_flow_agent_packet (&w->nodes[at].agent, &e, p, w->now_us);
@@ -219,21 +242,33 @@
 }
 
 static void
-rw_search (RwWorld *w, int at, bool is_here, const LcPacket *p)
+rw_try_searched (RwWorld *w, int at)
 {
-  LcCandidate others[LC_FLOW_SEARCH_MAX];
-  uint32_t n = lc_flow_return_others (&w->nodes[at].agent, lc_flow_key_hash (&p->key), others);
+  LcFlowTry next;
 
-  w->n_searches++;
-  for (uint32_t i = 0; i < n; i++)
-    {
-      LcEnvelope e;
+  while (w->nodes[at].is_up && lc_flow_finder_next_try (&w->nodes[at].agent, w->now_us, &next))
+    for (uint32_t i = 0; i < next.n; i++)
+      {
+        LcPacket kept = w->nodes[at].kept[next.place];
+        LcEnvelope e;
 
-      lc_flow_return_search (&w->nodes[at].agent, &others[i], &e);
-      rw_arrive (w, (int)others[i].ipv4, e, p);
-    }
-  if (is_here)
-    rw_backend (w, at, p, w->nodes[at].agent.desc.self.id);
+        lc_flow_return_search (&w->nodes[at].agent, &next.to[i], &e);
+        rw_arrive (w, (int)next.to[i].ipv4, e, &kept);
+      }
+}
+
+static void
+rw_search (RwWorld *w, int at, const LcFlowAction *action, const LcPacket *p)
+{
+  RwNode *n = &w->nodes[at];
+
+  w->n_searches++;
+  if (n->kept == NULL)
+    n->kept = g_new0 (LcPacket, LC_FLOW_SEARCHES);
+  n->kept[action->search.place] = *p;
+  rw_try_searched (w, at);
+  if (action->search.is_here)
+    rw_backend (w, at, p, n->agent.desc.self.id);
 }
 
 static void
@@ -251,7 +286,7 @@
       rw_arrive (w, (int)action->send.ipv4, *e, p);
       break;
     case LC_FLOW_ACTION_SEARCH:
-      rw_search (w, at, action->is_here, p);
+      rw_search (w, at, action, p);
       break;
     case LC_FLOW_ACTION_RESET:
       w->n_resets++;
@@ -263,37 +298,56 @@
     }
 }
 
-/* Agents' messages, until there are none. */
-void
-rw_settle (RwWorld *w)
+/* Agents' messages, and packets of searches, until there are none. */
+static void
+rw_talk (RwWorld *w)
 {
   LcFlowMessage m;
   bool has_sent = true;
 
-  w->now_us += 300 * LC_US_PER_MS;
-  for (int i = 0; i < RW_N_AGENTS; i++)
-    if (w->nodes[i].is_up)
-      lc_flow_agent_tick (&w->nodes[i].agent, w->now_us);
   while (has_sent)
     {
       has_sent = false;
-      for (int i = 0; i < RW_N_AGENTS; i++)
-        while (w->nodes[i].is_up && lc_flow_agent_next (&w->nodes[i].agent, &m, w->now_us))
-          {
-            has_sent = true;
-            if (w->nodes[m.to.ipv4].is_up)
-              lc_flow_agent_message (&w->nodes[m.to.ipv4].agent, &m, w->now_us);
-          }
+      for (int i = 0; i < w->n_agents; i++)
+        {
+          w->n_steps = 0;
+          rw_try_searched (w, i);
+          while (w->nodes[i].is_up && lc_flow_agent_next (&w->nodes[i].agent, &m, w->now_us))
+            {
+              has_sent = true;
+              w->n_messages++;
+              if (w->lose_each != 0 && w->n_messages % w->lose_each == 0)
+                continue;
+              if (w->nodes[m.to.ipv4].is_up)
+                lc_flow_agent_message (&w->nodes[m.to.ipv4].agent, &m, w->now_us);
+            }
+        }
     }
 }
 
+void
+rw_pass (RwWorld *w, int64_t us)
+{
+  w->now_us += us;
+  for (int i = 0; i < w->n_agents; i++)
+    if (w->nodes[i].is_up)
+      lc_flow_agent_tick (&w->nodes[i].agent, w->now_us);
+  rw_talk (w);
+}
+
+void
+rw_settle (RwWorld *w)
+{
+  rw_pass (w, 300 * LC_US_PER_MS);
+}
+
 uint32_t
 rw_take_resets (RwWorld *w)
 {
   LcPacket p;
   uint32_t n = 0;
 
-  for (int i = 0; i < RW_N_AGENTS; i++)
+  for (int i = 0; i < w->n_agents; i++)
     while (lc_flow_return_next_reset (&w->nodes[i].agent, &p))
       {
         g_assert (rw_n_held (w, rw_flow_of (&p)) == 0);
@@ -338,10 +392,10 @@
       uint32_t after = 0;
 
       g_assert (rw_n_held (w, f) == 1);
-      for (int i = 0; i < RW_N_AGENTS; i++)
+      for (int i = 0; i < w->n_agents; i++)
         before += w->nodes[i].n_delivered;
       (void)rw_send (w, &p);
-      for (int i = 0; i < RW_N_AGENTS; i++)
+      for (int i = 0; i < w->n_agents; i++)
         after += w->nodes[i].n_delivered;
       if (after != before + 1)
         g_error ("%s: flow %u reached its owner %u times", what, f, after - before);
--- a/tests/flow/return-world.h
+++ b/tests/flow/return-world.h
@@ -6,6 +6,7 @@
 #define RETURN_WORLD_H
 
 #include "core/flow/lc-flow-balancer.h"
+#include "core/flow/lc-flow-finder.h"
 #include "core/flow/lc-flow-return.h"
 
 #ifdef __cplusplus
@@ -15,9 +16,10 @@
 
   enum
   {
-    RW_N_AGENTS = 5,
+    RW_N_AGENTS = 5, /* of rw_start */
     RW_N_FLOWS = 40,
     RW_MAX_STEPS = 200, /* of one packet: every walk ends long before */
+    RW_LARGE = 300,     /* agents from which on all share one view */
   };
 
   typedef struct
@@ -28,17 +30,23 @@
     bool is_full;           /* returns first packets */
     bool is_failing;        /* takes first packets, and resets the flow at its first request */
     bool holds[RW_N_FLOWS]; /* flows of its backend server */
+    LcPacket *kept;         /* of searches, by place */
     uint32_t n_firsts;      /* first packets that its backend server took */
     uint32_t n_delivered;   /* other packets that it held the flow of */
   } RwNode;
 
   typedef struct
   {
-    LcView view;              /* the newest */
-    LcView seen[RW_N_AGENTS]; /* by each agent */
+    LcView view;  /* the newest */
+    LcView *seen; /* by each agent; of large worlds all see the newest */
     LcView balancer_view;
     LcFlowBalancer balancer;
-    RwNode nodes[RW_N_AGENTS];
+    RwNode *nodes;
+    int n_agents;
+    uint32_t max_steps; /* of one packet */
+    int64_t idle_us;    /* after which a flow that says nothing has ended; 0: the default */
+    uint64_t n_messages;
+    uint32_t lose_each; /* of messages between agents every so manieth is lost; 0: none */
     LcRevision revision;
     int64_t now_us;
     uint32_t n_steps;
@@ -58,9 +66,14 @@
   void rw_restart_agent (RwWorld *w, int i);
   /* `n` endpoints in the view, all agents running. */
   void rw_start (RwWorld *w, int n);
+  /* The same with `n_agents` agents, of which `n` are in the view; their backend servers began
+   * under them if `is_fresh`. */
+  void rw_start_sized (RwWorld *w, int n, int n_agents, bool is_fresh);
   void rw_stop (RwWorld *w);
   uint32_t rw_n_held (const RwWorld *w, uint32_t flow);
-  /* Agents' messages, until there are none. */
+  /* Time passes, with one tick at its end; then agents' messages, until there are none. */
+  void rw_pass (RwWorld *w, int64_t us);
+  /* 300 ms of it. */
   void rw_settle (RwWorld *w);
   /* Resets since the last call; each must be of a flow that nobody holds. */
   uint32_t rw_take_resets (RwWorld *w);
--- /dev/null
+++ b/tests/flow/test-flow-finder.c
@@ -0,0 +1,222 @@
+/* Finding the owners of flows in services of hundreds and thousands of endpoints, when the homes
+ * don't know them: what is held is reached and never reset, what nobody holds is told so, and the
+ * messages for it don't grow with the flows. */
+#include "return-world.h"
+#include "tests/fakes/lc-fake-run.h"
+
+#include <string.h>
+
+enum
+{
+  N_SMALL = 163,
+  N_LARGE = 2000,
+  N_COPIES = 4, /* of a packet within its first 1.4 s, the first included */
+};
+
+typedef enum
+{
+  NOTHING,
+  RESTART_HOMES,  /* every agent but the owners' */
+  RESTART_OWNERS, /* and no other */
+  RESTART_ALL,
+  STALE_OWNERS, /* endpoints join, and the owners' agents don't see them */
+  LOSE_MESSAGES,
+} Event;
+
+static const struct
+{
+  const char *what;
+  Event event;
+  int n;
+} HELD[] = {
+  { "homes forgot", RESTART_HOMES, N_SMALL },
+  { "owners' agents started again", RESTART_OWNERS, N_SMALL },
+  { "all agents started again", RESTART_ALL, N_SMALL },
+  { "owners with an old view", STALE_OWNERS, N_SMALL },
+  { "homes forgot, messages lost", LOSE_MESSAGES, N_SMALL },
+  { "homes forgot, 2,000 endpoints", RESTART_HOMES, N_LARGE },
+  { "owners' agents started again, 2,000 endpoints", RESTART_OWNERS, N_LARGE },
+};
+
+static bool
+owns_any (const RwNode *node)
+{
+  for (int f = 0; f < RW_N_FLOWS; f++)
+    if (node->holds[f])
+      return true;
+  return false;
+}
+
+static void
+show_all_but_owners (RwWorld *w)
+{
+  for (int i = 0; i < w->n_agents; i++)
+    if (!owns_any (&w->nodes[i]))
+      rw_show_agent (w, i);
+  rw_show_balancer (w);
+}
+
+static void
+happen (RwWorld *w, Event event)
+{
+  for (int i = 0; i < w->n_agents; i++)
+    {
+      bool owns = owns_any (&w->nodes[i]);
+
+      if (event == RESTART_ALL || (event == RESTART_OWNERS && owns) ||
+          ((event == RESTART_HOMES || event == LOSE_MESSAGES) && !owns))
+        rw_restart_agent (w, i);
+    }
+  if (event == LOSE_MESSAGES)
+    w->lose_each = 5;
+  if (event != STALE_OWNERS)
+    return;
+  for (int i = N_SMALL; i < w->n_agents; i++)
+    rw_put_endpoint (w, i, LC_ENDPOINT_ACTIVE);
+  show_all_but_owners (w);
+}
+
+static uint32_t
+n_delivered (const RwWorld *w)
+{
+  uint32_t n = 0;
+
+  for (int i = 0; i < w->n_agents; i++)
+    n += w->nodes[i].n_delivered;
+  return n;
+}
+
+/* The time between a packet and its next copy, tick by tick. */
+static void
+pass_until_copy (RwWorld *w, int copy)
+{
+  for (int64_t us = 0; us < (200 << copy) * LC_US_PER_MS; us += LC_FLOW_AGENT_TICK_US)
+    rw_pass (w, LC_FLOW_AGENT_TICK_US);
+}
+
+/* Sends copies of the flow's packet until the backend server that holds it has one. */
+static bool
+is_reached (RwWorld *w, uint32_t flow)
+{
+  LcPacket p = rw_packet_of (flow, false);
+  uint32_t before = n_delivered (w);
+
+  for (int copy = 0; copy < N_COPIES && n_delivered (w) == before; copy++)
+    {
+      (void)rw_send (w, &p);
+      pass_until_copy (w, copy);
+    }
+  return n_delivered (w) > before;
+}
+
+START_TEST (test_held_flows_are_reached)
+{
+  int n_more = HELD[_i].event == STALE_OWNERS ? 30 : 0;
+  RwWorld w;
+
+  rw_start_sized (&w, HELD[_i].n, HELD[_i].n + n_more, true);
+  w.idle_us = 20 * LC_US_PER_S;
+  rw_open_flows (&w);
+  happen (&w, HELD[_i].event);
+  for (uint32_t f = 0; f < RW_N_FLOWS; f++)
+    {
+      ck_assert_msg (rw_n_held (&w, f) == 1, "%s: flow %u", HELD[_i].what, f);
+      ck_assert_msg (is_reached (&w, f), "%s: flow %u is not reached", HELD[_i].what, f);
+    }
+  ck_assert_msg (rw_take_resets (&w) == 0, "%s", HELD[_i].what);
+  /* One more packet of each, and the way is known again. */
+  w.lose_each = 0;
+  for (uint32_t f = 0; f < RW_N_FLOWS; f++)
+    (void)is_reached (&w, f);
+  w.n_searches = 0;
+  rw_check_all_reach (&w, HELD[_i].what);
+  ck_assert_msg (w.n_searches == 0, "%s: %u searches when found", HELD[_i].what, w.n_searches);
+  rw_stop (&w);
+}
+END_TEST
+
+/* After a loss of everything the callers come with flows that nobody holds, all at once. */
+static const struct
+{
+  const char *what;
+  int n;
+  int n_restarted; /* agents beside backend servers that went on */
+  uint32_t lose_each;
+  uint64_t
+      max_messages; /* for all flows together: rounds of eight searchers, and the usual loads */
+} LOST[] = {
+  { "all began anew", N_SMALL, 0, 0, 15000 },
+  { "messages lost", N_SMALL, 0, 7, 25000 },
+  { "some agents started again", N_SMALL, 20, 0, 15000 },
+  { "2,000 endpoints", N_LARGE, 0, 0, 180000 },
+};
+
+START_TEST (test_lost_flows_are_told)
+{
+  uint32_t n_resets = 0;
+  uint64_t before;
+  RwWorld w;
+
+  rw_start_sized (&w, LOST[_i].n, LOST[_i].n, true);
+  w.idle_us = 20 * LC_US_PER_S;
+  rw_settle (&w);
+  for (int i = 0; i < LOST[_i].n_restarted; i++)
+    rw_restart_agent (&w, i);
+  w.lose_each = LOST[_i].lose_each;
+  before = w.n_messages;
+  for (int copy = 0; copy < N_COPIES && n_resets < RW_N_FLOWS; copy++)
+    {
+      for (uint32_t f = 0; f < RW_N_FLOWS; f++)
+        {
+          LcPacket p = rw_packet_of (f, false);
+
+          (void)rw_send (&w, &p);
+        }
+      pass_until_copy (&w, copy);
+      n_resets += rw_take_resets (&w);
+    }
+  ck_assert_msg (n_resets >= RW_N_FLOWS, "%s: %u of %d flows", LOST[_i].what, n_resets, RW_N_FLOWS);
+  ck_assert_msg (w.n_messages - before <= LOST[_i].max_messages, "%s: %lu messages", LOST[_i].what,
+                 (unsigned long)(w.n_messages - before));
+  rw_stop (&w);
+}
+END_TEST
+
+/* One endpoint is silent: nobody may say that it does not hold the flow. */
+START_TEST (test_silent_endpoint_holds_the_answer_back)
+{
+  uint32_t n_resets = 0;
+  RwWorld w;
+
+  rw_start_sized (&w, N_SMALL, N_SMALL, true);
+  rw_settle (&w);
+  w.nodes[77].is_up = false;
+  for (int copy = 0; copy < N_COPIES; copy++)
+    {
+      for (uint32_t f = 0; f < RW_N_FLOWS; f++)
+        {
+          LcPacket p = rw_packet_of (f, false);
+
+          (void)rw_send (&w, &p);
+        }
+      rw_settle (&w);
+      n_resets += rw_take_resets (&w);
+    }
+  ck_assert_uint_eq (n_resets, 0);
+  rw_stop (&w);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("flow-finder");
+  TCase *tcase = tcase_create ("finder");
+
+  tcase_set_timeout (tcase, 30);
+  tcase_add_loop_test (tcase, test_held_flows_are_reached, 0, (int)G_N_ELEMENTS (HELD));
+  tcase_add_loop_test (tcase, test_lost_flows_are_told, 0, (int)G_N_ELEMENTS (LOST));
+  tcase_add_test (tcase, test_silent_endpoint_holds_the_answer_back);
+  suite_add_tcase (suite, tcase);
+  return lc_fake_run (suite);
+}
--- a/tests/flow/test-flow-return.c
+++ b/tests/flow/test-flow-return.c
@@ -404,42 +404,77 @@
 }
 END_TEST
 
-/* A denial by one that has a newer view ends the search: it may know of another endpoint. */
+/* One that knows of a newer set of members holds the search open: there may be another endpoint. */
 START_TEST (test_denials)
 {
-  static const LcEndpointId IDS[] = { 1, 2, 3 };
+  static const LcFlowSearchMember MEMBERS[] = { { 1, 11 }, { 2, 12 }, { 3, 13 }, { 4, 14 } };
   static const struct
   {
     const char *what;
     LcEndpointId by[4];
-    LcRevision revisions[4];
+    LcRevision memberships[4];
     int64_t after_us;
-    bool is_last;
+    bool is_lost;
+    LcRevision learned; /* of the newer set; 0: it is not learned */
+    uint32_t n_then;    /* its members */
+    bool is_lost_then;
   } CASES[] = {
-    { "all", { 1, 2, 3 }, { 5, 5, 5 }, 0, true },
-    { "older views", { 3, 2, 1 }, { 4, 3, 5 }, 0, true },
-    { "one twice", { 1, 2, 2 }, { 5, 5, 5 }, 0, false },
-    { "one missing", { 1, 3 }, { 5, 5 }, 0, false },
-    { "one that was not asked", { 1, 2, 9 }, { 5, 5, 5 }, 0, false },
-    { "a newer view", { 1, 2, 3 }, { 5, 6, 5 }, 0, false },
-    { "too late", { 1, 2, 3 }, { 5, 5, 5 }, LC_FLOW_SEARCH_US, false },
+    { "all", { 1, 2, 3 }, { 5, 5, 5 }, 0, true, 0, 0, false },
+    { "older views", { 3, 2, 1 }, { 4, 3, 5 }, 0, true, 0, 0, false },
+    { "one twice", { 1, 2, 2 }, { 5, 5, 5 }, 0, false, 0, 0, false },
+    { "one missing", { 1, 3 }, { 5, 5 }, 0, false, 0, 0, false },
+    { "one that was not asked", { 1, 2, 9 }, { 5, 5, 5 }, 0, false, 0, 0, false },
+    { "a newer view", { 1, 2, 3 }, { 5, 6, 5 }, 0, false, 0, 0, false },
+    { "too late", { 1, 2, 3 }, { 5, 5, 5 }, LC_FLOW_SEARCH_US, false, 0, 0, false },
+    { "a newer view, learned later", { 1, 2, 3 }, { 5, 6, 5 }, 0, false, 6, 3, true },
+    { "a newer view with one more", { 1, 2, 3 }, { 5, 6, 5 }, 0, false, 6, 4, false },
+    { "the one missing leaves", { 1, 2 }, { 5, 5 }, 0, false, 6, 2, true },
   };
-  LcFlowSearches *searches = g_new0 (LcFlowSearches, 1);
+  LcFlowSearches searches;
   LcPacket p = rw_packet_of (7, false);
   LcPacket out;
 
   for (size_t i = 0; i < G_N_ELEMENTS (CASES); i++)
     {
-      bool is_last = false;
-
-      memset (searches, 0, sizeof *searches);
-      lc_flow_search_begin (searches, &p, IDS, 3, 5, 0);
+      lc_flow_searches_init (&searches, 0);
+      lc_flow_searches_set_members (&searches, MEMBERS, 3, 5);
+      (void)lc_flow_search_begin (&searches, &p, 0);
       for (int k = 0; k < 4 && CASES[i].by[k] != 0; k++)
-        is_last = lc_flow_search_deny (searches, &p.key, CASES[i].by[k], CASES[i].revisions[k],
-                                       CASES[i].after_us, &out);
-      ck_assert_msg (is_last == CASES[i].is_last, "%s", CASES[i].what);
+        {
+          LcFlowSearchMember by = { CASES[i].by[k], CASES[i].by[k] + 10 };
+
+          lc_flow_search_clear (&searches, &p.key, &by, CASES[i].memberships[k], CASES[i].after_us);
+        }
+      ck_assert_msg (lc_flow_search_next_lost (&searches, &out) == CASES[i].is_lost, "%s",
+                     CASES[i].what);
+      if (CASES[i].learned != 0)
+        lc_flow_searches_set_members (&searches, MEMBERS, CASES[i].n_then, CASES[i].learned);
+      ck_assert_msg (lc_flow_search_next_lost (&searches, &out) == CASES[i].is_lost_then, "%s",
+                     CASES[i].what);
+      lc_flow_searches_finish (&searches);
     }
-  g_free (searches);
+}
+END_TEST
+
+/* What one start of an endpoint said counts for no other. */
+START_TEST (test_denial_by_an_earlier_start)
+{
+  static const LcFlowSearchMember BEFORE[] = { { 1, 11 }, { 2, 12 } };
+  static const LcFlowSearchMember AFTER[] = { { 1, 11 }, { 2, 99 } };
+  LcFlowSearches searches;
+  LcPacket p = rw_packet_of (7, false);
+  LcPacket out;
+
+  lc_flow_searches_init (&searches, 0);
+  lc_flow_searches_set_members (&searches, BEFORE, 2, 5);
+  (void)lc_flow_search_begin (&searches, &p, 0);
+  lc_flow_search_clear (&searches, &p.key, &BEFORE[1], 5, 0);
+  lc_flow_searches_set_members (&searches, AFTER, 2, 6);
+  lc_flow_search_clear (&searches, &p.key, &AFTER[0], 6, 0);
+  ck_assert (!lc_flow_search_next_lost (&searches, &out));
+  lc_flow_search_clear (&searches, &p.key, &AFTER[1], 6, 0);
+  ck_assert (lc_flow_search_next_lost (&searches, &out));
+  lc_flow_searches_finish (&searches);
 }
 END_TEST
 
@@ -503,6 +538,7 @@
   tcase_add_test (tcase, test_other_service_is_refused);
   tcase_add_loop_test (tcase, test_lost_flows, 0, (int)G_N_ELEMENTS (LOST));
   tcase_add_test (tcase, test_denials);
+  tcase_add_test (tcase, test_denial_by_an_earlier_start);
   tcase_add_loop_test (tcase, test_failing_backends_are_left_out, 0,
                        (int)(sizeof FAILING / sizeof FAILING[0]));
   suite_add_tcase (suite, tcase);
