Flow search: one endpoint that says nothing keeps no other flow waiting

Cause: a round stays open until every member has answered; four rounds of 32 flows were all that could be open, so that one silent member held a searcher to 64 flows a second. Now 64 rounds and 512 searches, taken when needed; 16 searchers a service. A search that ends without a result says whom it missed (flow.search-expired). Ruled out by the log: members with a newer set (the bursts were 2 s apart whatever the view did).

--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -137,6 +137,23 @@
     }
 }
 
+/* Searches that end without a result: who kept the answer back. */
+static void
+lc_agent_flow__note_expired (LcAgentFlow *plane, int64_t now_us)
+{
+  const LcFlowSearches *searches = plane->agent.searches;
+
+  if (searches == NULL || searches->expired_total == plane->expired_logged)
+    return;
+  if (!lc_log_allow (&plane->expired_limit, now_us, LC_AGENT_FLOW_LOG_PER_S))
+    return;
+  LC_WARN ("flow.search-expired", "searches",
+           LC_U64 (searches->expired_total - plane->expired_logged), "silent_endpoint",
+           LC_U64 (searches->silent.id), "silent_instance", LC_U64 (searches->silent.instance),
+           "membership", LC_U64 (searches->membership));
+  plane->expired_logged = searches->expired_total;
+}
+
 static void
 lc_agent_flow__malformed (LcAgentFlow *plane, const char *what, uint32_t ipv4, int64_t now_us)
 {
@@ -406,6 +423,7 @@
   lc_flow_agent_set_cut_off (&plane->agent, lc_member_silence_us (plane->desc.member, now_us) >
                                                 LC_AGENT_FLOW_CUT_OFF_MS * LC_US_PER_MS);
   lc_flow_agent_tick (&plane->agent, now_us);
+  lc_agent_flow__note_expired (plane, now_us);
   lc_agent_flow__drain_tick (plane, now_us);
   lc_agent_flow__bring_totals (plane);
   lc_agent_flow__send_messages (plane, now_us);
@@ -461,6 +479,7 @@
   desc.service_id = service_id;
   desc.is_fresh = plane->is_fresh;
   lc_flow_agent_init (&plane->agent, &desc, now_us);
+  plane->expired_logged = 0;
   plane->has_agent = true;
   lc_flow_agent_set_dc (&plane->agent, dc);
   lc_flow_agent_set_without_backend (&plane->agent, !plane->is_backend_open);
--- a/src/agent/lc-agent-flow.h
+++ b/src/agent/lc-agent-flow.h
@@ -64,6 +64,8 @@
   uint64_t malformed_total;
   uint64_t message_bytes_total;
   LcLogLimit malformed_limit;
+  LcLogLimit expired_limit;
+  uint64_t expired_logged; /* searches that ended without a result, and were logged */
 } LcAgentFlow;
 
 int lc_agent_flow_init (LcAgentFlow *plane, const LcAgentFlowDesc *desc, LcError *error);
--- a/src/core/flow/lc-flow-finder.h
+++ b/src/core/flow/lc-flow-finder.h
@@ -9,10 +9,11 @@
  *   In a service of up to LC_FLOW_FINDER_DIRECT endpoints the agent at the end of the walk
  * searches, and gives the packet to all of them.  In a larger one it passes the packet to one of
  * LC_FLOW_FINDER_SHARDS searchers that the flow's hash names, which asks in rounds: messages a
- * second are then at most shards x rounds x endpoints x 2 (163 endpoints: 52,000 while every caller
- * of the service searches; 64 packets and as many answers for each single flow were 360,000), and
- * no message grows with the flows of the service or with its endpoints.  Which searcher a flow has
- * changes each LC_FLOW_FINDER_TURN_US, so that one that does not answer costs a copy of a packet.
+ * second are then at most shards x rounds x endpoints x 2 (163 endpoints: 104,000 while every
+ * caller of the service searches; 64 packets and as many answers for each single flow were
+ * 360,000), and no message grows with the flows of the service or with its endpoints.  Which
+ * searcher a flow has changes each LC_FLOW_FINDER_TURN_US, so that one that does not answer costs a
+ * copy of a packet.
  *
  * WHO KNOWS ALL
  *   An agent knows all flows of its backend server when that one began under it
@@ -40,7 +41,7 @@
   enum
   {
     LC_FLOW_FINDER_DIRECT = 16,
-    LC_FLOW_FINDER_SHARDS = 8,
+    LC_FLOW_FINDER_SHARDS = 16,
     LC_FLOW_FINDER_TURNS = 3, /* searchers that take turns for one shard */
   };
 
--- a/src/core/flow/lc-flow-search.c
+++ b/src/core/flow/lc-flow-search.c
@@ -149,7 +149,7 @@
 static LcFlowRound *
 lc_flow_search__round_of (LcFlowSearches *s, uint32_t id)
 {
-  for (int i = 0; i < LC_FLOW_ROUNDS && id != 0; i++)
+  for (int i = 0; i < LC_FLOW_ROUNDS && id != 0 && s->rounds != NULL; i++)
     if (s->rounds[i].id == id)
       return &s->rounds[i];
   return NULL;
@@ -159,7 +159,7 @@
 static void
 lc_flow_search__end_rounds (LcFlowSearches *s, int64_t now_us)
 {
-  for (int i = 0; i < LC_FLOW_ROUNDS; i++)
+  for (int i = 0; i < LC_FLOW_ROUNDS && s->rounds != NULL; i++)
     {
       LcFlowRound *r = &s->rounds[i];
 
@@ -169,17 +169,34 @@
     }
 }
 
+static void
+lc_flow_search__note_silent (LcFlowSearches *s, const LcFlowSearch *search)
+{
+  for (uint32_t i = 0; i < lc_flow_search__n_listed (s); i++)
+    if (!lc_flow_search__has (&search->cleared, i))
+      {
+        s->expired_total++;
+        s->silent = s->members[i];
+        return;
+      }
+}
+
 static void
 lc_flow_search__end_late (LcFlowSearches *s, int64_t now_us)
 {
   for (uint32_t i = 0; i < LC_FLOW_SEARCHES && s->n_used > 0; i++)
     if (s->slots[i].is_used && !lc_flow_search__is_running (&s->slots[i], now_us))
-      lc_flow_search__end (s, &s->slots[i]);
+      {
+        lc_flow_search__note_silent (s, &s->slots[i]);
+        lc_flow_search__end (s, &s->slots[i]);
+      }
 }
 
 static LcFlowRound *
 lc_flow_search__free_round (LcFlowSearches *s)
 {
+  if (s->rounds == NULL)
+    s->rounds = g_new0 (LcFlowRound, LC_FLOW_ROUNDS);
   for (int i = 0; i < LC_FLOW_ROUNDS; i++)
     if (s->rounds[i].id == 0)
       return &s->rounds[i];
@@ -220,6 +237,7 @@
 {
   g_free (s->members);
   g_free (s->slots);
+  g_free (s->rounds);
   g_array_unref (s->lost);
   memset (s, 0, sizeof *s);
 }
@@ -250,7 +268,7 @@
   s->members = n > 0 ? g_memdup2 (members, n * sizeof *members) : NULL;
   s->n_members = n;
   s->membership = membership;
-  for (int i = 0; i < LC_FLOW_ROUNDS; i++)
+  for (int i = 0; i < LC_FLOW_ROUNDS && s->rounds != NULL; i++)
     if (s->rounds[i].id != 0)
       s->rounds[i].answered = lc_flow_search__moved (s, &s->rounds[i].answered, before, n_before);
   for (uint32_t i = 0; i < LC_FLOW_SEARCHES && s->n_used > 0; i++)
@@ -404,7 +422,7 @@
 
   lc_flow_search__end_rounds (s, now_us);
   lc_flow_search__end_late (s, now_us);
-  for (int i = 0; i < LC_FLOW_ROUNDS; i++)
+  for (int i = 0; i < LC_FLOW_ROUNDS && s->rounds != NULL; i++)
     {
       round = &s->rounds[i];
       if (round->id != 0 && now_us - round->sent_us >= LC_FLOW_ROUND_RETRY_US)
@@ -413,8 +431,10 @@
           return round;
         }
     }
+  if (s->n_unasked == 0 || now_us - s->round_us < LC_FLOW_ROUND_US)
+    return NULL;
   round = lc_flow_search__free_round (s);
-  if (s->n_unasked == 0 || round == NULL || now_us - s->round_us < LC_FLOW_ROUND_US)
+  if (round == NULL)
     return NULL;
   lc_flow_search__fill_round (s, round, now_us);
   round->sent_us = now_us;
--- a/src/core/flow/lc-flow-search.h
+++ b/src/core/flow/lc-flow-search.h
@@ -46,10 +46,11 @@
 
   enum
   {
-    LC_FLOW_SEARCHES = 256,
+    LC_FLOW_SEARCHES = 512,  /* of which each keeps one packet */
     LC_FLOW_SEARCH_MAX = 64, /* endpoints that one packet is sent to */
     LC_FLOW_SEARCH_MEMBERS = 2048,
-    LC_FLOW_ROUNDS = 4,      /* under way at a time */
+    LC_FLOW_ROUNDS = 64, /* under way at a time: one member that says nothing keeps each open for as
+                            long as a search lasts, and 20 a second begin */
     LC_FLOW_ROUND_KEYS = 32, /* flows that a round asks for: one message (LC_FLOW_BATCH_MAX) */
   };
 
@@ -113,11 +114,13 @@
     LcRevision membership;
     LcFlowSearch *slots; /* owned; NULL before the first search, as most agents never search */
     uint32_t n_used;
-    LcFlowRound rounds[LC_FLOW_ROUNDS];
+    LcFlowRound *rounds; /* owned; NULL before the first one */
     uint32_t last_round;
     int64_t round_us; /* when the newest round began */
     uint32_t n_unasked;
-    GArray *lost; /* LcPacket */
+    uint64_t expired_total;    /* searches that ended because somebody said nothing */
+    LcFlowSearchMember silent; /* one of these, at the last such search */
+    GArray *lost;              /* LcPacket */
   } LcFlowSearches;
 
   /* Rounds are numbered from the time, so that an answer to a process before this one is none. */
