Views: served by slices of time and bounded in memory as a whole; who takes the whole view comes first

Cause: after a loss of all power some 300 members ask one leader for their views, and each of the 300 announcements that it commits meanwhile is news for all of them, sent each 10 ms. What was encoded for readers was bounded for each link alone, which bounds nothing: 256 KiB x 300 are 77 MB.

Now a server of views sends for 8 ms at most and takes a quarter of its time (lc-flush-pace), members take turns, those with the whole view first, and nobody new is served while 8 MiB are encoded and not read.

Ruled out: longer election timeouts (they cost the same at each death of a leader). Test: flush-pace replays the return of 300 and 1,000 members with fast and slow readers: the longest slice, the share of time and the bytes.

--- a/src/controller/lc-view-server.c
+++ b/src/controller/lc-view-server.c
@@ -1,5 +1,7 @@
 #include "lc-view-server.h"
 
+#include "core/member/lc-flush-pace.h"
+#include "io/lc-clock.h"
 #include "io/lc-member-frames.h"
 #include "io/lc-wire-snapshot.h"
 #include "io/lc-wire-view.h"
@@ -10,7 +12,6 @@
 enum
 {
   LC_VIEW_SERVER_MAX_SNAPSHOTS = 16,
-  LC_VIEW_SERVER_FLUSH_MS = 10,
   LC_VIEW_SERVER_SMALL_OPS = 512, /* a delta of so few is never worth a snapshot */
   LC_VIEW_SERVER_BACKLOG_BYTES = 256 << 10,
   LC_VIEW_SERVER_RETRY_MIN_MS = 250,
@@ -23,6 +24,7 @@
 {
   LcRevision revision;
   GPtrArray *parts; /* GByteArray */
+  size_t bytes;     /* of all parts */
   uint32_t n_users;
 };
 
@@ -34,6 +36,7 @@
   LcRevision sent_revision;
   LcSnapshotCache *snapshot; /* being sent, or NULL */
   guint next_part;
+  GList *turn; /* its place in LcViewServer.turns */
 } LcSubscriber;
 
 /* === private: snapshots ===================================================================== */
@@ -45,6 +48,8 @@
 
   cache->revision = view->revision;
   cache->parts = lc_wire_snapshot_encode (scope, view);
+  for (guint i = 0; i < cache->parts->len; i++)
+    cache->bytes += ((const GByteArray *)g_ptr_array_index (cache->parts, i))->len;
   return cache;
 }
 
@@ -267,12 +272,52 @@
 }
 
 static void
-lc_view_server__arm (LcViewServer *server)
+lc_view_server__arm_after (LcViewServer *server, uint32_t ms)
 {
-  if (server->is_flush_armed)
-    return;
   server->is_flush_armed = true;
-  lc_timer_start (&server->flush, LC_VIEW_SERVER_FLUSH_MS);
+  lc_timer_start (&server->flush, ms);
+}
+
+static void
+lc_view_server__arm (LcViewServer *server)
+{
+  if (!server->is_flush_armed)
+    lc_view_server__arm_after (server, LC_FLUSH_PAUSE_MIN_MS);
+}
+
+/* Who takes the whole view comes first: it serves others. */
+static void
+lc_view_server__take_turn (LcViewServer *server, LcSubscriber *sub)
+{
+  GQueue *turns = sub->scope.is_scoped ? &server->turns : &server->first_turns;
+
+  g_queue_push_tail (turns, sub);
+  sub->turn = g_queue_peek_tail_link (turns);
+}
+
+static void
+lc_view_server__leave_turn (LcViewServer *server, LcSubscriber *sub)
+{
+  g_queue_delete_link (sub->scope.is_scoped ? &server->turns : &server->first_turns, sub->turn);
+}
+
+/* Encoded for subscribers and not yet taken by them. */
+static size_t
+lc_view_server__unsent_bytes (const LcViewServer *server)
+{
+  GHashTableIter iter;
+  gpointer value;
+  size_t n = 0;
+
+  g_hash_table_iter_init (&iter, server->subscribers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const LcSubscriber *sub = value;
+
+      n += lc_link_backlog_bytes (sub->link);
+      n += sub->snapshot != NULL && sub->scope.is_scoped ? sub->snapshot->bytes : 0;
+    }
+  return n;
 }
 
 static void
@@ -293,27 +338,58 @@
   server->cache = NULL;
 }
 
+/* Serves a queue from its head until the slice is spent or each has had a turn. */
 static void
-lc_view_server__on_flush (void *user)
+lc_view_server__serve_turns (LcViewServer *server,
+                             GQueue *turns,
+                             size_t *unsent_bytes,
+                             int64_t started_us)
+{
+  for (guint n = turns->length; n > 0 && !lc_flush_is_spent (started_us, lc_clock_now_us ()); n--)
+    {
+      LcSubscriber *sub = g_queue_peek_head (turns);
+      size_t before = lc_link_backlog_bytes (sub->link);
+
+      if (sub->snapshot == NULL && !lc_flush_has_room (*unsent_bytes))
+        return;
+      g_queue_push_tail_link (turns, g_queue_pop_head_link (turns));
+      if (!lc_view_server__serve (server, sub))
+        {
+          lc_view_server__leave_turn (server, sub);
+          g_hash_table_remove (server->subscribers, sub->link);
+          continue;
+        }
+      *unsent_bytes += lc_link_backlog_bytes (sub->link) - before;
+    }
+}
+
+static bool
+lc_view_server__is_anybody_waiting (const LcViewServer *server)
 {
-  LcViewServer *server = user;
   GHashTableIter iter;
   gpointer value;
-  bool is_waiting = false;
 
-  server->is_flush_armed = false;
   g_hash_table_iter_init (&iter, server->subscribers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      if (!lc_view_server__serve (server, value))
-        g_hash_table_iter_remove (&iter);
-      else
-        is_waiting = is_waiting || lc_view_server__is_waiting (server, value);
-    }
+    if (lc_view_server__is_waiting (server, value))
+      return true;
+  return false;
+}
+
+static void
+lc_view_server__on_flush (void *user)
+{
+  LcViewServer *server = user;
+  int64_t started_us = lc_clock_now_us ();
+  size_t unsent_bytes = lc_view_server__unsent_bytes (server);
+
+  server->is_flush_armed = false;
+  lc_view_server__serve_turns (server, &server->first_turns, &unsent_bytes, started_us);
+  lc_view_server__serve_turns (server, &server->turns, &unsent_bytes, started_us);
   lc_view_server__drop_shared (server);
   server->n_refused_recently -= server->n_refused_recently / 16;
-  if (is_waiting)
-    lc_view_server__arm (server);
+  if (lc_view_server__is_anybody_waiting (server))
+    lc_view_server__arm_after (server, lc_flush_pause_ms (lc_clock_now_us () - started_us));
   else
     lc_view_server__drop_idle_cache (server);
 }
@@ -346,6 +422,8 @@
   g_hash_table_iter_init (&iter, server->subscribers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     lc_view_server__end_snapshot (server, value);
+  g_queue_clear (&server->first_turns);
+  g_queue_clear (&server->turns);
   g_hash_table_destroy (server->subscribers);
   g_hash_table_destroy (server->unserved);
   server->subscribers = NULL;
@@ -365,8 +443,11 @@
       sub->link = link;
       g_hash_table_insert (server->subscribers, link, sub);
     }
+  else
+    lc_view_server__leave_turn (server, sub);
   lc_view_server__end_snapshot (server, sub);
   sub->scope = *scope;
+  lc_view_server__take_turn (server, sub);
   lc_view_server__resolve (server, sub);
   sub->sent_revision = from;
   lc_view_server__arm (server);
@@ -437,5 +518,6 @@
   if (sub == NULL)
     return;
   lc_view_server__end_snapshot (server, sub);
+  lc_view_server__leave_turn (server, sub);
   g_hash_table_remove (server->subscribers, link);
 }
--- a/src/controller/lc-view-server.h
+++ b/src/controller/lc-view-server.h
@@ -16,7 +16,9 @@
  *
  * LIMITS
  *   At most max_snapshots shared snapshots are on their way at once; a further subscriber is told
- *   when to come back.  A subscriber whose link has much unsent gets the rest later.
+ *   when to come back.  A subscriber whose link has much unsent gets the rest later, and so does
+ *   everybody while all links together have much unsent, or while serving would take more than its
+ *   share of the process's time (lc-flush-pace.h).  Subscribers take turns.
  *
  * THREADS
  *   Everything on the loop's thread.
@@ -51,6 +53,8 @@
   GHashTable *subscribers; /* LcLink -> private record */
   GHashTable *unserved;    /* set of LcLink: greeted while there was no view */
   LcSnapshotCache *cache;  /* newest encoded snapshot, or NULL */
+  GQueue first_turns; /* LcSubscriber of the whole view, in the order in which they are served */
+  GQueue turns;       /* the others, after them */
   LcTimer flush;
   bool is_flush_armed;
   GByteArray *shared_delta; /* of one flush, for subscribers at the same revision */
