Flow search: an endpoint that answers nothing for 2.5 s is waited for no longer

Now who searches notes when a member was first asked and has said nothing since, whatever start of it speaks. An agent answers a searcher that knows another start of its endpoint. Ruled out: a shorter time until leases are missed (it is there so that a slow return loses nobody).

Test: test_silent_endpoint_holds_the_answer_back now also asks for the answer once the silence is long enough; red before.

--- a/src/core/flow/lc-assign.h
+++ b/src/core/flow/lc-assign.h
@@ -99,6 +99,7 @@
     int64_t refusing_until_us;
     int64_t joined_us; /* when this agent first saw it JOINING; 0: ramped */
     int64_t lost_us;   /* when this agent first saw it LOST; 0: it is not */
+    int64_t asked_us;  /* when a searcher asked it first since it said anything; 0: it has spoken */
     bool is_candidate;
     bool is_accepting;
     bool looks_bad;
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -613,6 +613,15 @@
     lc_flow_finder_set_members (a, now_us);
 }
 
+/* A searcher may know another start of this endpoint than this one: it is answered all the same, so
+ * that it does not take this one for gone. */
+static bool
+lc_flow_agent__is_for_self (const LcFlowAgent *a, const LcFlowMessage *m)
+{
+  return lc_candidate_equal (&m->to, &a->desc.self) ||
+         (m->kind == LC_FLOW_ASK && m->to.id == a->desc.self.id);
+}
+
 /* === public: packets and messages =========================================================== */
 
 LcFlowAction
@@ -633,7 +642,11 @@
 void
 lc_flow_agent_message (LcFlowAgent *a, const LcFlowMessage *m, int64_t now_us)
 {
-  if (m->service_id != a->desc.service_id || !lc_candidate_equal (&m->to, &a->desc.self))
+  LcAssignPeer *sender = lc_assign_peer (&a->assign, m->load.agent.id);
+
+  if (sender != NULL)
+    sender->asked_us = 0; /* whatever start of it speaks: it is there */
+  if (m->service_id != a->desc.service_id || !lc_flow_agent__is_for_self (a, m))
     return;
   a->counts.messages_total++;
   lc_assign_report (&a->assign, &m->load, now_us);
--- a/src/core/flow/lc-flow-finder.c
+++ b/src/core/flow/lc-flow-finder.c
@@ -9,6 +9,14 @@
  * time after which a platform counts a cut-off VM as out of touch (4 to 5 s). */
 #define LC_FLOW_LOST_US (5 * LC_US_PER_S)
 
+/* One that answers none of a searcher's questions for this long is dead, or cut off, though the
+ * view may not know it for 15 s after a return of all: nobody has a lease of an endpoint that did
+ * not come back, and one such endpoint kept every caller of a lost flow waiting for its time limit.
+ * Longer than an agent is away when it is stopped and started again and waits for a view: 0.15 s to
+ * its end, some 0.5 s until it is started, 1 s for its first view when its first upstream has none.
+ */
+#define LC_FLOW_SILENT_US (5 * LC_US_PER_S / 2)
+
 /* === private: members ======================================================================= */
 
 static bool
@@ -18,10 +26,13 @@
 }
 
 /* Endpoints whose word is waited for.  One that the view has lost may live and be cut off; after
- * LC_FLOW_LOST_US its callers are better served by a new flow. */
+ * LC_FLOW_LOST_US its callers are better served by a new flow, and so are those of one that does
+ * not answer. */
 static bool
 lc_flow_finder__is_awaited (const LcAssignPeer *p, int64_t now_us)
 {
+  if (p->asked_us != 0 && now_us - p->asked_us >= LC_FLOW_SILENT_US)
+    return false;
   return p->lost_us == 0 || now_us - p->lost_us < LC_FLOW_LOST_US;
 }
 
@@ -99,11 +110,11 @@
 /* Asks the members that have not answered the round.  Those whose agents don't know all are asked
  * as well: they may know by now. */
 static void
-lc_flow_finder__send_round (LcFlowAgent *a, const LcFlowRound *round)
+lc_flow_finder__send_round (LcFlowAgent *a, const LcFlowRound *round, int64_t now_us)
 {
   for (uint32_t i = 0; i < a->searches->n_members; i++)
     {
-      const LcAssignPeer *peer = lc_assign_peer (&a->assign, a->searches->members[i].id);
+      LcAssignPeer *peer = lc_assign_peer (&a->assign, a->searches->members[i].id);
       LcFlowMessage *m;
 
       if (peer == NULL || peer->agent.id == a->desc.self.id || !lc_flow_search_is_asked (round, i))
@@ -111,6 +122,8 @@
       m = lc_flow_pointers_message (a, LC_FLOW_ASK, &peer->agent);
       m->round = round->id;
       m->n = round->n;
+      if (peer->asked_us == 0)
+        peer->asked_us = now_us;
       for (uint32_t k = 0; k < round->n; k++)
         m->entries[k].key = round->keys[k];
       a->counts.asked_total++;
@@ -124,7 +137,7 @@
 
   while (!lc_flow_finder__is_direct (a) &&
          (round = lc_flow_search_round (a->searches, now_us)) != NULL)
-    lc_flow_finder__send_round (a, round);
+    lc_flow_finder__send_round (a, round, now_us);
 }
 
 static LcFlowSearchTurn
