Members: a view that stands still is noticed, said and mended; links to upstreams are logged

Now each packet and message says which revision its sender has (lc-staleness); a view that lacks a revision known for 1.5 s is stale: one line when it begins and when it ends, and an upstream that lacks it, too, is left like a silent one. Lines for each link to an upstream made or lost and for 'come back later', 5 a second at most. Ruled out: leaving whoever has a lower revision (news on their way always lag; the herd would move with each).

--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -279,6 +279,7 @@
       lc_agent_flow__malformed (plane, "envelope", from, now_us);
       return;
     }
+  lc_member_note_revision (plane->desc.member, envelope.revision);
   action = lc_flow_agent_packet (&plane->agent, &envelope, &packet, now_us);
   lc_agent_flow__act (plane, &action, &envelope, bytes + start, &packet, now_us);
 }
@@ -352,7 +353,10 @@
       if (lc_flow_wire_read (&message, bytes, len) < 0)
         lc_agent_flow__malformed (plane, "message", ipv4, now_us);
       else
-        lc_flow_agent_message (&plane->agent, &message, now_us);
+        {
+          lc_member_note_revision (plane->desc.member, message.load.revision);
+          lc_flow_agent_message (&plane->agent, &message, now_us);
+        }
       break;
     default:
       lc_agent_flow__malformed (plane, "datagram", ipv4, now_us);
--- a/src/agent/lc-agent-flow.h
+++ b/src/agent/lc-agent-flow.h
@@ -30,7 +30,7 @@
 {
   LcApp *app;
   const LcAgentSettings *settings;
-  const LcMember *member;
+  LcMember *member;
 } LcAgentFlowDesc;
 
 typedef struct
--- a/src/controller/lc-member-choose.c
+++ b/src/controller/lc-member-choose.c
@@ -118,10 +118,21 @@
          (slot->stands_by || now_us - slot->opened_us >= LC_MEMBER_EMPTY_MS * LC_US_PER_MS);
 }
 
+/* It is up and knows nothing of what others have known for long: its own upstream may be cut off. A
+ * new one is given the time to say what it has. */
+static bool
+lc_member__is_lagging (const LcMemberSlot *slot, int64_t now_us)
+{
+  return slot->is_open && slot->is_known && slot->member->sync.view.revision > 0 &&
+         now_us - slot->opened_us >= LC_MEMBER_BEHIND_MS * LC_US_PER_MS &&
+         lc_staleness_lacks (&slot->member->staleness, slot->revision);
+}
+
 static bool
 lc_member__is_useless (const LcMemberSlot *slot, int64_t now_us)
 {
-  return lc_member__is_silent (slot, now_us) || lc_member__is_empty (slot, now_us);
+  return lc_member__is_silent (slot, now_us) || lc_member__is_empty (slot, now_us) ||
+         lc_member__is_lagging (slot, now_us);
 }
 
 static LcMemberSlot *
@@ -372,6 +383,28 @@
   return now_us - member->behind_us >= LC_MEMBER_BEHIND_MS * LC_US_PER_MS;
 }
 
+/* Said once when the view begins to stand still, and once when it goes on. */
+void
+lc_member__check_stale (LcMember *member, int64_t now_us)
+{
+  LcRevision revision = member->sync.view.revision;
+  int64_t stale_us = lc_staleness_us (&member->staleness, now_us);
+
+  switch (lc_staleness_check (&member->staleness, revision, now_us))
+    {
+    case LC_STALENESS_BEGINS:
+      LC_WARN ("view.stale", "revision", LC_U64 (revision), "newest",
+               LC_U64 (member->staleness.newest), "stale_ms", LC_I64 (stale_us / LC_US_PER_MS));
+      break;
+    case LC_STALENESS_ENDS:
+      LC_INFO ("view.fresh", "revision", LC_U64 (revision), "stale_ms",
+               LC_I64 (stale_us / LC_US_PER_MS));
+      break;
+    case LC_STALENESS_SAME:
+      break;
+    }
+}
+
 void
 lc_member__choose_primary (LcMember *member, int64_t now_us)
 {
--- a/src/controller/lc-member-private.h
+++ b/src/controller/lc-member-private.h
@@ -48,6 +48,8 @@
 void lc_member__choose_balancer_upstreams (LcMember *member, int64_t now_us);
 /* It has answered and is not silent. */
 bool lc_member__is_usable (const LcMemberSlot *slot, int64_t now_us);
+/* Whether the view stands still; at each tick. */
+void lc_member__check_stale (LcMember *member, int64_t now_us);
 void lc_member__choose_primary (LcMember *member, int64_t now_us);
 void lc_member__subscribe_due (LcMember *member, int64_t now_us);
 
--- a/src/controller/lc-member-upstream.c
+++ b/src/controller/lc-member-upstream.c
@@ -14,6 +14,7 @@
   LC_MEMBER_ASK_AGAIN_MS = 200, /* between subscriptions on one link */
   LC_MEMBER_LOGS_PER_S = 2,
   LC_MEMBER_VIEW_LOG_PER_S = 10,
+  LC_MEMBER_LINK_LOG_PER_S = 5,
 };
 
 /* === private: small parts =================================================================== */
@@ -356,6 +357,7 @@
     lc_member__tick_soon (member);
   slot->is_known = true;
   slot->revision = status->revision;
+  lc_member_note_revision (member, status->revision);
   slot->is_leader = status->is_leader;
   slot->stands_by = status->stands_by;
   slot->is_confirmed = status->is_confirmed;
@@ -374,6 +376,20 @@
   lc__wire__member_status__free_unpacked (status, NULL);
 }
 
+/* A link to an upstream was made or lost, or it asked to come back later. */
+static void
+lc_member__log_link (LcMemberSlot *slot, const char *event, const char *why, int64_t after_ms)
+{
+  LcMember *member = slot->member;
+
+  if (!lc_log_allow (&member->link_limit, lc_clock_now_us (), LC_MEMBER_LINK_LOG_PER_S))
+    return;
+  LC_INFO (event, "ipv4", LC_U64 (slot->address.ipv4), "port", LC_U64 (slot->address.port), "why",
+           LC_STR (why), "after_ms", LC_I64 (after_ms), "revision",
+           LC_U64 (member->sync.view.revision), "its_revision", LC_U64 (slot->revision), "left_out",
+           LC_U64 (member->link_limit.suppressed_total));
+}
+
 static void
 lc_member__on_retry (LcMemberSlot *slot, const LcFrame *frame, int64_t now_us)
 {
@@ -384,6 +400,7 @@
     return;
   slot->is_subscribed = false;
   slot->subscribe_at_us = now_us + (int64_t)retry->after_ms * LC_US_PER_MS;
+  lc_member__log_link (slot, "upstream.retry", "too many ask for its view", retry->after_ms);
   lc__wire__member_retry__free_unpacked (retry, NULL);
 }
 
@@ -420,6 +437,7 @@
   LcMemberSlot *slot = user;
   int64_t now_us = lc_clock_now_us ();
 
+  lc_member__log_link (slot, "upstream.up", "", 0);
   slot->is_known = false;
   slot->stands_by = false;
   slot->is_subscribed = false;
@@ -448,6 +466,7 @@
   LcMemberSlot *slot = user;
   LcMember *member = slot->member;
 
+  lc_member__log_link (slot, "upstream.down", why, 0);
   slot->is_known = false;
   slot->is_subscribed = false;
   slot->is_leader = false;
--- a/src/controller/lc-member.c
+++ b/src/controller/lc-member.c
@@ -57,6 +57,7 @@
   LcMember *member = user;
   int64_t now_us = lc_clock_now_us ();
 
+  lc_member__check_stale (member, now_us);
   if (member->desc.kind == LC_MEMBER_BALANCER)
     lc_member__choose_balancer_upstreams (member, now_us);
   else
@@ -183,6 +184,12 @@
   return &member->sync.view;
 }
 
+void
+lc_member_note_revision (LcMember *member, LcRevision revision)
+{
+  lc_staleness_note (&member->staleness, revision);
+}
+
 const LcEndpoint *
 lc_member_endpoint (const LcMember *member)
 {
--- a/src/controller/lc-member.h
+++ b/src/controller/lc-member.h
@@ -34,6 +34,7 @@
 
 #include "lc-view-server.h"
 
+#include "core/member/lc-staleness.h"
 #include "core/member/lc-upstreams.h"
 #include "core/member/lc-view-sync.h"
 #include "core/member/lc-watch.h"
@@ -110,6 +111,7 @@
   bool has_relays;       /* a balancer that is not linked to control */
   uint32_t primary;      /* slot that a balancer takes the view from; UINT32_MAX: none yet */
   int64_t behind_us;     /* 0, or since when another upstream has had a newer view */
+  LcStaleness staleness; /* of the view, by all that upstreams and peers say */
   LcTimer tick;
   bool is_started;
   bool is_held; /* nothing was announced yet */
@@ -140,11 +142,14 @@
   LcMetric *malformed_total;
   LcLogLimit log_limit;
   LcLogLimit view_limit;
+  LcLogLimit link_limit;
 };
 
 int lc_member_init (LcMember *member, const LcMemberDesc *desc, LcError *error);
 void lc_member_finish (LcMember *member);
 const LcView *lc_member_view (const LcMember *member);
+/* Somebody has this revision of the view: a packet or a message says so. */
+void lc_member_note_revision (LcMember *member, LcRevision revision);
 /* This agent's endpoint in the view, or NULL before it is committed. */
 const LcEndpoint *lc_member_endpoint (const LcMember *member);
 /* Agents that are held: takes over the instance that the view still knows of this endpoint, so that
--- a/tests/fakes/lc-member-fake.c
+++ b/tests/fakes/lc-member-fake.c
@@ -235,3 +235,11 @@
 lc_member_learn_control (LcMember *member, const LcSocketAddress *list, uint32_t n)
 {
 }
+
+/* This view is the only one there is. */
+void
+lc_member_note_revision (LcMember *member, LcRevision revision)
+{
+  (void)member;
+  (void)revision;
+}
