Agents: a backend server that began anew serves under its earlier name until control has committed the new one

Cause: an agent began its flow plane only when its own announcement was committed. Now it begins with the endpoint that the view knows (same name, service and address), and is renamed. What is said in a search is kept by endpoint and address: a start after it holds nothing of before (the test on starts became one on addresses: an endpoint that moved may have been there already). Servers of views take half of the time, not a quarter: 300 members had to wait 0.6 s for one turn.

--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -149,7 +149,7 @@
     return;
   LC_WARN ("flow.search-expired", "searches",
            LC_U64 (searches->expired_total - plane->expired_logged), "silent_endpoint",
-           LC_U64 (searches->silent.id), "silent_instance", LC_U64 (searches->silent.instance),
+           LC_U64 (searches->silent.id), "silent_ipv4", LC_U64 (searches->silent.ipv4),
            "membership", LC_U64 (searches->membership));
   plane->expired_logged = searches->expired_total;
 }
@@ -492,21 +492,24 @@
   LC_INFO ("flow.started", "endpoint", LC_U64 (self->id), "service", LC_U64 (service_id));
 }
 
-/* The endpoint's id and service are known once control has committed its announcement. */
+/* The endpoint's id and service are known once control has committed its announcement.  A backend
+ * server that has started anew at an endpoint that the view knows goes by the name of its earlier
+ * start until then: after a loss of all power its first flows need not wait for 200 announcements
+ * to be committed, and who searches hears at once that it holds nothing. */
 static void
 lc_agent_flow__start_agent (LcAgentFlow *plane, int64_t now_us)
 {
-  const LcEndpoint *e = lc_member_endpoint (plane->desc.member);
+  const LcEndpoint *e = lc_member_own_endpoint (plane->desc.member);
   LcCandidate self;
 
-  if (e == NULL || e->instance != lc_member_instance (plane->desc.member) ||
-      (plane->has_agent && e->instance == plane->agent.desc.self.instance))
+  if (e == NULL || (plane->has_agent && e->instance == plane->agent.desc.self.instance))
     return;
   self = (LcCandidate){ e->id, e->ipv4, e->instance, e->flow_port };
-  if (plane->has_agent && plane->started == e->instance &&
-      plane->agent.desc.service_id == e->service_id)
+  if (plane->has_agent && plane->agent.desc.service_id == e->service_id &&
+      plane->agent.desc.self.id == e->id && e->instance == plane->started)
     lc_flow_agent_rename (&plane->agent, &self); /* begun when its backend server reported itself */
-  else
+  else if (e->instance == lc_member_instance (plane->desc.member) ||
+           (!plane->has_agent && plane->started != 0))
     lc_agent_flow__begin (plane, &self, e->service_id, e->dc, now_us);
 }
 
--- a/src/controller/lc-member.c
+++ b/src/controller/lc-member.c
@@ -196,14 +196,24 @@
   return lc_view_endpoint_by_name (&member->sync.view, member->desc.endpoint.name);
 }
 
-bool
-lc_member_resume (LcMember *member)
+const LcEndpoint *
+lc_member_own_endpoint (const LcMember *member)
 {
   const LcEndpoint *e = lc_member_endpoint (member);
   const LcService *s = e != NULL ? lc_view_service (&member->sync.view, e->service_id) : NULL;
 
-  if (!member->is_held || s == NULL || strcmp (s->name, member->desc.service) != 0 ||
+  if (s == NULL || strcmp (s->name, member->desc.service) != 0 ||
       e->ipv4 != member->desc.endpoint.ipv4)
+    return NULL;
+  return e;
+}
+
+bool
+lc_member_resume (LcMember *member)
+{
+  const LcEndpoint *e = lc_member_own_endpoint (member);
+
+  if (!member->is_held || e == NULL)
     return false;
   member->desc.endpoint.instance = e->instance;
   return true;
--- a/src/controller/lc-member.h
+++ b/src/controller/lc-member.h
@@ -152,6 +152,8 @@
 void lc_member_note_revision (LcMember *member, LcRevision revision);
 /* This agent's endpoint in the view, or NULL before it is committed. */
 const LcEndpoint *lc_member_endpoint (const LcMember *member);
+/* The same where it is of this agent's service and at its address; of whichever start. */
+const LcEndpoint *lc_member_own_endpoint (const LcMember *member);
 /* Agents that are held: takes over the instance that the view still knows of this endpoint, so that
  * a restarted agent is the one that its peers know.  False: the view has none that fits. */
 bool lc_member_resume (LcMember *member);
--- a/src/core/flow/lc-flow-finder.c
+++ b/src/core/flow/lc-flow-finder.c
@@ -39,13 +39,13 @@
 static LcFlowSearchMember
 lc_flow_finder__self (const LcFlowAgent *a)
 {
-  return (LcFlowSearchMember){ a->desc.self.id, a->desc.self.instance };
+  return (LcFlowSearchMember){ a->desc.self.id, a->desc.self.ipv4 };
 }
 
 static LcFlowSearchMember
 lc_flow_finder__sender (const LcFlowMessage *m)
 {
-  return (LcFlowSearchMember){ m->load.agent.id, m->load.agent.instance };
+  return (LcFlowSearchMember){ m->load.agent.id, m->load.agent.ipv4 };
 }
 
 /* === private: searchers ===================================================================== */
@@ -202,7 +202,7 @@
       lc_flow_finder__is_direct (a) ? NULL : lc_flow_finder__searcher (a, packet, now_us);
 
   if (searcher == NULL || lc_candidate_equal (searcher, &a->desc.self))
-    return lc_flow_finder_search (a, packet, false, 0, now_us);
+    return lc_flow_finder_search (a, e, packet, now_us);
   e->stray_id = a->desc.self.id; /* who is to learn the owner */
   return lc_flow_agent__send (a, e, LC_MODE_FIND, searcher);
 }
@@ -216,25 +216,60 @@
     lc_flow_finder__say (a, key, lc_flow_pointers_message (a, LC_FLOW_ANSWER, &peer->agent));
 }
 
-LcFlowAction
-lc_flow_finder_search (
-    LcFlowAgent *a, const LcPacket *packet, bool is_returned, LcEndpointId home, int64_t now_us)
+/* Begins a search, or goes on with it; `is_cleared`: the backend server here does not hold the
+ * flow. */
+static LcFlowSearch *
+lc_flow_finder__begin (LcFlowAgent *a, const LcPacket *packet, bool is_cleared, int64_t now_us)
 {
   LcFlowSearchMember self = lc_flow_finder__self (a);
-  bool knows_all = lc_flow_finder_knowledge (a, now_us) == LC_FLOW_KNOWS_ALL;
-  LcFlowAction action = { .kind = LC_FLOW_ACTION_SEARCH };
-  LcFlowSearch *search;
+  LcFlowSearch *search = lc_flow_search_begin (a->searches, packet, now_us);
 
   a->counts.searched_total++;
   lc_flow_returners_lost (&a->returners, packet->key.source_ipv4, now_us);
-  search = lc_flow_search_begin (a->searches, packet, now_us);
   search->is_new_packet = true;
-  search->home = home;
-  action.search.place = lc_flow_search_place (a->searches, search);
-  action.search.is_here = !is_returned && !knows_all;
-  a->next_try = MIN (a->next_try, action.search.place);
-  if (!action.search.is_here)
+  a->next_try = MIN (a->next_try, lc_flow_search_place (a->searches, search));
+  if (is_cleared)
     lc_flow_search_clear (a->searches, &packet->key, &self, a->sets.membership_revision, now_us);
+  return search;
+}
+
+/* The packet's homes are of the balancer's view: those that are not in the view here may hold the
+ * flow as well, and are given the packet. */
+static void
+lc_flow_finder__try_unknown (LcFlowAgent *a, const LcEnvelope *e, uint32_t place)
+{
+  for (uint32_t i = 0; i < e->n; i++)
+    {
+      LcFlowFound unknown = { place, e->candidates[i] };
+
+      if (lc_assign_peer (&a->assign, e->candidates[i].id) == NULL)
+        g_array_append_val (a->found, unknown);
+    }
+}
+
+LcFlowAction
+lc_flow_finder_search (LcFlowAgent *a, const LcEnvelope *e, const LcPacket *packet, int64_t now_us)
+{
+  bool knows_all = lc_flow_finder_knowledge (a, now_us) == LC_FLOW_KNOWS_ALL;
+  LcFlowSearch *search = lc_flow_finder__begin (a, packet, knows_all, now_us);
+  LcFlowAction action = { .kind = LC_FLOW_ACTION_SEARCH };
+
+  search->home = e->mode == LC_MODE_FIND ? e->stray_id : 0;
+  action.search.place = lc_flow_search_place (a->searches, search);
+  action.search.is_here = !knows_all;
+  lc_flow_finder__try_unknown (a, e, action.search.place);
+  lc_flow_finder__ask (a, now_us);
+  lc_flow_finder__take_lost (a);
+  return action;
+}
+
+LcFlowAction
+lc_flow_finder_search_returned (LcFlowAgent *a, const LcPacket *packet, int64_t now_us)
+{
+  LcFlowSearch *search = lc_flow_finder__begin (a, packet, true, now_us);
+  LcFlowAction action = { .kind = LC_FLOW_ACTION_SEARCH };
+
+  action.search.place = lc_flow_search_place (a->searches, search);
   lc_flow_finder__ask (a, now_us);
   lc_flow_finder__take_lost (a);
   return action;
@@ -367,7 +402,7 @@
       const LcAssignPeer *p = &a->assign.peers[i];
 
       if (lc_flow_finder__is_awaited (p, now_us))
-        members[n++] = (LcFlowSearchMember){ p->agent.id, p->agent.instance };
+        members[n++] = (LcFlowSearchMember){ p->agent.id, p->agent.ipv4 };
     }
   if (!lc_flow_searches_has_members (a->searches, members, n, a->sets.membership_revision))
     lc_flow_searches_set_members (a->searches, members, n, a->sets.membership_revision);
--- a/src/core/flow/lc-flow-finder.h
+++ b/src/core/flow/lc-flow-finder.h
@@ -64,13 +64,14 @@
   /* The owner is known here, but not to the home that sent the packet on: it is told, or each
    * packet of an owner whose view is old would take this way. */
   void lc_flow_finder_tell (LcFlowAgent *agent, LcEndpointId home, const LcFlowKey *key);
-  /* Searches here.  `is_returned`: the backend server beside this agent has returned the packet.
-   * `home`: who sent it on and is told of the owner; 0: nobody. */
+  /* Searches here for the owner of a packet that came in this envelope. */
   LcFlowAction lc_flow_finder_search (LcFlowAgent *agent,
+                                      const LcEnvelope *envelope,
                                       const LcPacket *packet,
-                                      bool is_returned,
-                                      LcEndpointId home,
                                       int64_t now_us);
+  /* The same for a packet that the backend server here has returned. */
+  LcFlowAction
+  lc_flow_finder_search_returned (LcFlowAgent *agent, const LcPacket *packet, int64_t now_us);
   /* The backend server here returned a packet that an agent's search tried on it. */
   LcFlowAction lc_flow_finder_tried (LcFlowAgent *agent, const LcPacket *packet, int64_t now_us);
   /* Who is to be given a searched packet now: after an LC_FLOW_ACTION_SEARCH, and after each tick
--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -257,7 +257,7 @@
       lc_flow_finder_tell (a, e->stray_id, &packet->key);
       return lc_flow_agent__send (a, e, LC_MODE_OWNER, &known.other);
     }
-  return lc_flow_finder_search (a, packet, false, e->stray_id, now_us);
+  return lc_flow_finder_search (a, e, packet, now_us);
 }
 
 /* === public ================================================================================= */
@@ -344,7 +344,7 @@
       a, lc_flow_table_find (&a->table, &packet->key, lc_flow_key_hash (&packet->key)));
   if (!packet->may_open)
     return packet->mark != LC_FLOW_MARK_NONE ? lc_flow_finder_tried (a, packet, now_us)
-                                             : lc_flow_finder_search (a, packet, true, 0, now_us);
+                                             : lc_flow_finder_search_returned (a, packet, now_us);
   lc_flow_return__note_refused (a, now_us);
   if (packet->mark <= LC_FLOW_RETURN_HOPS || packet->mark > LC_ENVELOPE_HOPS)
     return lc_flow_return__fail (lc_flow_agent__drop (a, LC_DROP_LIMIT), packet);
--- a/src/core/flow/lc-flow-search.c
+++ b/src/core/flow/lc-flow-search.c
@@ -28,7 +28,7 @@
   return MIN (s->n_members, (uint32_t)LC_FLOW_SEARCH_MEMBERS);
 }
 
-/* The member's place; -1: it is none, or another start of it is. */
+/* The member's place; -1: it is none, or is at another address. */
 static int
 lc_flow_search__place (const LcFlowSearches *s, const LcFlowSearchMember *member)
 {
@@ -45,7 +45,7 @@
         high = mid;
     }
   return low < lc_flow_search__n_listed (s) && s->members[low].id == member->id &&
-                 s->members[low].instance == member->instance
+                 s->members[low].ipv4 == member->ipv4
              ? (int)low
              : -1;
 }
@@ -251,7 +251,7 @@
   if (s->n_members != n || s->membership != membership)
     return false;
   for (uint32_t i = 0; i < n; i++)
-    if (s->members[i].id != members[i].id || s->members[i].instance != members[i].instance)
+    if (s->members[i].id != members[i].id || s->members[i].ipv4 != members[i].ipv4)
       return false;
   return true;
 }
--- a/src/core/flow/lc-flow-search.h
+++ b/src/core/flow/lc-flow-search.h
@@ -62,11 +62,13 @@
  * between data centres have passed. */
 #define LC_FLOW_ROUND_RETRY_US (100 * LC_US_PER_MS)
 
-  /* One start of an endpoint. */
+  /* An endpoint at its address: the agent there speaks for whatever backend server is beside it
+   * now. One that starts anew later holds nothing of before, so that its instance does not matter.
+   */
   typedef struct
   {
     LcEndpointId id;
-    LcInstance instance;
+    uint32_t ipv4;
   } LcFlowSearchMember;
 
   /* A set of members, by their places in the list. */
@@ -130,8 +132,8 @@
                                      const LcFlowSearchMember *members,
                                      uint32_t n,
                                      LcRevision membership);
-  /* Those whose word counts, ordered by id.  What was said by a start of an endpoint that is still
-   * among them is kept. */
+  /* Those whose word counts, ordered by id.  What was said by those that are still among them, at
+   * the same address, is kept. */
   void lc_flow_searches_set_members (LcFlowSearches *searches,
                                      const LcFlowSearchMember *members,
                                      uint32_t n,
--- a/src/core/member/lc-flush-pace.h
+++ b/src/core/member/lc-flush-pace.h
@@ -7,7 +7,7 @@
  * commits as many announcements, each of which is news for all of them.  A leader that sends news
  * every 10 ms then does nothing else, its heartbeats come late, and a second election follows: 0.3
  * s more until everybody has a view (five control VMs with 0.24 cores).  So it sends for
- * LC_FLUSH_SLICE_US at most, and pauses so that sending takes no more than a quarter of its time.
+ * LC_FLUSH_SLICE_US at most, and pauses so that sending takes no more than half of its time.
  * News that come meanwhile travel together.
  *
  *   Memory.  What is encoded and not yet taken by its reader is bounded for the process: a limit
@@ -41,7 +41,7 @@
   {
     LC_FLUSH_PAUSE_MIN_MS = 10, /* news that come together travel together */
     LC_FLUSH_PAUSE_MAX_MS = 200,
-    LC_FLUSH_PAUSE_TIMES = 3, /* of the time spent: sending takes a quarter */
+    LC_FLUSH_PAUSE_TIMES = 1, /* of the time spent: sending takes half */
     /* A tenth of what a control VM or balancer of 80 MB has. */
     LC_FLUSH_UNSENT_MAX_BYTES = 8 << 20,
   };
--- a/tests/fakes/lc-member-fake.c
+++ b/tests/fakes/lc-member-fake.c
@@ -169,6 +169,12 @@
   return lc_view_endpoint_by_name (&lc_fake.view, member->desc.endpoint.name);
 }
 
+const LcEndpoint *
+lc_member_own_endpoint (const LcMember *member)
+{
+  return lc_member_endpoint (member);
+}
+
 void
 lc_member_frame (LcMember *member, LcLink *link, const LcFrame *frame)
 {
