--- a/src/core/flow/lc-flow-search.c
+++ b/src/core/flow/lc-flow-search.c
@@ -326,8 +326,7 @@
     {
       uint32_t i = (uint32_t)((first + k) % n_listed);
 
-      if ((spared != NULL && lc_flow_search__has (spared, i)) ||
-          lc_flow_search__has (&search->tried, i) ||
+      if (lc_flow_search__has (spared, i) || lc_flow_search__has (&search->tried, i) ||
           (!lc_flow_search__has (&search->doubted, i) && !may_try (user, s->members[i].id)))
         continue;
       lc_flow_search__add (&search->tried, i);
@@ -344,6 +343,7 @@
                     void *user,
                     LcEndpointId out[LC_FLOW_SEARCH_MAX])
 {
+  static const LcFlowMemberSet none = { 0 };
   uint32_t n = 0;
 
   if (turn != LC_FLOW_SEARCH_ALL)
@@ -351,7 +351,7 @@
   if (n > 0 || turn == LC_FLOW_SEARCH_NEXT)
     return n;
   memset (&search->tried, 0, sizeof search->tried);
-  return lc_flow_search__pick (s, search, NULL, may_try, user, out);
+  return lc_flow_search__pick (s, search, &none, may_try, user, out);
 }
 
 LcFlowSearch *
--- a/tests/flow/return-world.c
+++ b/tests/flow/return-world.c
@@ -122,7 +122,8 @@
 void
 rw_start_sized (RwWorld *w, int n, int n_agents, bool is_fresh)
 {
-  LcViewOp service = { .kind = LC_VIEW_SERVICE, .service = { .id = 1, .name = "desk", .returns_packets = true } };
+  LcViewOp service = { .kind = LC_VIEW_SERVICE,
+                       .service = { .id = 1, .name = "desk", .returns_packets = true } };
   LcViewOp address = { .kind = LC_VIEW_ADDRESS };
 
   memset (w, 0, sizeof *w);
