--- a/fuzz/fuzz-adapter.c
+++ b/fuzz/fuzz-adapter.c
@@ -2,6 +2,7 @@
  * says which. */
 #include "platform/lc-platform-declaration.h"
 #include "platform/lc-platform-packet.h"
+#include "platform/lc-platform-report.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -35,15 +36,30 @@
 }
 
 static void
-lc_fuzz__report (const uint8_t *bytes, size_t len)
+lc_fuzz__call (const char *method, const uint8_t *bytes, size_t len)
 {
   static const char PATH[] = "/instances/i-1";
-  LcPlatformCall call = { "PUT", 3, PATH, sizeof PATH - 1, (const char *)bytes, len };
+  LcPlatformCall call = {
+    method, strlen (method), PATH, sizeof PATH - 1, (const char *)bytes, len
+  };
   LcBackendReport report;
   LcError error = { 0 };
 
-  if (lc_platform_report_read (&report, &call, &error) < 0 && error.remedy[0] == '\0')
-    abort (); /* each error names a remedy */
+  if (lc_platform_report_read (&report, &call, &error) < 0)
+    {
+      if (error.remedy[0] == '\0')
+        abort (); /* each error names a remedy */
+      return;
+    }
+  if (report.state != LC_BACKEND_ENDED && (report.service[0] == '\0' || report.slots == 0))
+    abort (); /* it would name a backend server that can't be used */
+}
+
+static void
+lc_fuzz__report (const uint8_t *bytes, size_t len)
+{
+  lc_fuzz__call ("PUT", bytes, len);
+  lc_fuzz__call ("DELETE", bytes, len);
 }
 
 static void
