--- a/proto/lc-control.pb-c.c
+++ b/proto/lc-control.pb-c.c
@@ -817,6 +817,51 @@
   assert(message->base.descriptor == &lc__wire__numbered_declaration__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lc__wire__evacuation__init
+                     (Lc__Wire__Evacuation         *message)
+{
+  static const Lc__Wire__Evacuation init_value = LC__WIRE__EVACUATION__INIT;
+  *message = init_value;
+}
+size_t lc__wire__evacuation__get_packed_size
+                     (const Lc__Wire__Evacuation *message)
+{
+  assert(message->base.descriptor == &lc__wire__evacuation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lc__wire__evacuation__pack
+                     (const Lc__Wire__Evacuation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lc__wire__evacuation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lc__wire__evacuation__pack_to_buffer
+                     (const Lc__Wire__Evacuation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lc__wire__evacuation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lc__Wire__Evacuation *
+       lc__wire__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lc__Wire__Evacuation *)
+     protobuf_c_message_unpack (&lc__wire__evacuation__descriptor,
+                                allocator, len, data);
+}
+void   lc__wire__evacuation__free_unpacked
+                     (Lc__Wire__Evacuation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lc__wire__evacuation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lc__wire__command__init
                      (Lc__Wire__Command         *message)
 {
@@ -2791,7 +2836,84 @@
   (ProtobufCMessageInit) lc__wire__numbered_declaration__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__command__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lc__wire__evacuation__field_descriptors[4] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__Evacuation, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_wanted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__Evacuation, is_wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seen_revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__Evacuation, seen_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "allow_empty",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__Evacuation, allow_empty),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lc__wire__evacuation__field_indices_by_name[] = {
+  3,   /* field[3] = allow_empty */
+  0,   /* field[0] = data_centre */
+  1,   /* field[1] = is_wanted */
+  2,   /* field[2] = seen_revision */
+};
+static const ProtobufCIntRange lc__wire__evacuation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor lc__wire__evacuation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lc.wire.Evacuation",
+  "Evacuation",
+  "Lc__Wire__Evacuation",
+  "lc.wire",
+  sizeof(Lc__Wire__Evacuation),
+  4,
+  lc__wire__evacuation__field_descriptors,
+  lc__wire__evacuation__field_indices_by_name,
+  1,  lc__wire__evacuation__number_ranges,
+  (ProtobufCMessageInit) lc__wire__evacuation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lc__wire__command__field_descriptors[9] =
 {
   {
     "kind",
@@ -2889,8 +3011,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuation",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__Command, evacuation),
+    &lc__wire__evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__command__field_indices_by_name[] = {
+  8,   /* field[8] = evacuation */
   4,   /* field[4] = intent */
   0,   /* field[0] = kind */
   6,   /* field[6] = member */
@@ -2903,7 +3038,7 @@
 static const ProtobufCIntRange lc__wire__command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor lc__wire__command__descriptor =
 {
@@ -2913,7 +3048,7 @@
   "Lc__Wire__Command",
   "lc.wire",
   sizeof(Lc__Wire__Command),
-  8,
+  9,
   lc__wire__command__field_descriptors,
   lc__wire__command__field_indices_by_name,
   1,  lc__wire__command__number_ranges,
--- a/proto/lc-control.pb-c.h
+++ b/proto/lc-control.pb-c.h
@@ -34,6 +34,7 @@
 typedef struct Lc__Wire__Intent Lc__Wire__Intent;
 typedef struct Lc__Wire__CommandMember Lc__Wire__CommandMember;
 typedef struct Lc__Wire__NumberedDeclaration Lc__Wire__NumberedDeclaration;
+typedef struct Lc__Wire__Evacuation Lc__Wire__Evacuation;
 typedef struct Lc__Wire__Command Lc__Wire__Command;
 typedef struct Lc__Wire__StoredPlan Lc__Wire__StoredPlan;
 typedef struct Lc__Wire__StoredAnswer Lc__Wire__StoredAnswer;
@@ -361,6 +362,22 @@
     , 0, NULL, {0,NULL} }
 
 
+/*
+ * An operator's order to begin or end the evacuation of a data centre.
+ */
+struct  Lc__Wire__Evacuation
+{
+  ProtobufCMessage base;
+  char *data_centre;
+  protobuf_c_boolean is_wanted;
+  uint64_t seen_revision;
+  protobuf_c_boolean allow_empty;
+};
+#define LC__WIRE__EVACUATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lc__wire__evacuation__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 struct  Lc__Wire__Command
 {
   ProtobufCMessage base;
@@ -372,10 +389,11 @@
   uint64_t plan_id;
   Lc__Wire__CommandMember *member;
   Lc__Wire__NumberedDeclaration *numbered;
+  Lc__Wire__Evacuation *evacuation;
 };
 #define LC__WIRE__COMMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__command__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, NULL, 0, NULL, NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, NULL, 0, NULL, NULL, NULL }
 
 
 struct  Lc__Wire__StoredPlan
@@ -843,6 +861,25 @@
 void   lc__wire__numbered_declaration__free_unpacked
                      (Lc__Wire__NumberedDeclaration *message,
                       ProtobufCAllocator *allocator);
+/* Lc__Wire__Evacuation methods */
+void   lc__wire__evacuation__init
+                     (Lc__Wire__Evacuation         *message);
+size_t lc__wire__evacuation__get_packed_size
+                     (const Lc__Wire__Evacuation   *message);
+size_t lc__wire__evacuation__pack
+                     (const Lc__Wire__Evacuation   *message,
+                      uint8_t             *out);
+size_t lc__wire__evacuation__pack_to_buffer
+                     (const Lc__Wire__Evacuation   *message,
+                      ProtobufCBuffer     *buffer);
+Lc__Wire__Evacuation *
+       lc__wire__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lc__wire__evacuation__free_unpacked
+                     (Lc__Wire__Evacuation *message,
+                      ProtobufCAllocator *allocator);
 /* Lc__Wire__Command methods */
 void   lc__wire__command__init
                      (Lc__Wire__Command         *message);
@@ -1032,6 +1069,9 @@
 typedef void (*Lc__Wire__NumberedDeclaration_Closure)
                  (const Lc__Wire__NumberedDeclaration *message,
                   void *closure_data);
+typedef void (*Lc__Wire__Evacuation_Closure)
+                 (const Lc__Wire__Evacuation *message,
+                  void *closure_data);
 typedef void (*Lc__Wire__Command_Closure)
                  (const Lc__Wire__Command *message,
                   void *closure_data);
@@ -1077,6 +1117,7 @@
 extern const ProtobufCMessageDescriptor lc__wire__intent__descriptor;
 extern const ProtobufCMessageDescriptor lc__wire__command_member__descriptor;
 extern const ProtobufCMessageDescriptor lc__wire__numbered_declaration__descriptor;
+extern const ProtobufCMessageDescriptor lc__wire__evacuation__descriptor;
 extern const ProtobufCMessageDescriptor lc__wire__command__descriptor;
 extern const ProtobufCMessageDescriptor lc__wire__stored_plan__descriptor;
 extern const ProtobufCMessageDescriptor lc__wire__stored_answer__descriptor;
--- a/proto/lc-view.pb-c.c
+++ b/proto/lc-view.pb-c.c
@@ -457,7 +457,7 @@
   assert(message->base.descriptor == &lc__wire__view_snapshot_part__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lc__wire__data_centre__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lc__wire__data_centre__field_descriptors[7] =
 {
   {
     "id",
@@ -507,9 +507,48 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_evacuated",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__DataCentre, is_evacuated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuation_revision",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__DataCentre, evacuation_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuation_wall_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__DataCentre, evacuation_wall_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__data_centre__field_indices_by_name[] = {
+  5,   /* field[5] = evacuation_revision */
+  6,   /* field[6] = evacuation_wall_us */
   0,   /* field[0] = id */
+  4,   /* field[4] = is_evacuated */
   2,   /* field[2] = name */
   3,   /* field[3] = region */
   1,   /* field[1] = state */
@@ -517,7 +556,7 @@
 static const ProtobufCIntRange lc__wire__data_centre__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lc__wire__data_centre__descriptor =
 {
@@ -527,7 +566,7 @@
   "Lc__Wire__DataCentre",
   "lc.wire",
   sizeof(Lc__Wire__DataCentre),
-  4,
+  7,
   lc__wire__data_centre__field_descriptors,
   lc__wire__data_centre__field_indices_by_name,
   1,  lc__wire__data_centre__number_ranges,
--- a/proto/lc-view.pb-c.h
+++ b/proto/lc-view.pb-c.h
@@ -39,10 +39,13 @@
   uint32_t state;
   char *name;
   char *region;
+  protobuf_c_boolean is_evacuated;
+  uint64_t evacuation_revision;
+  int64_t evacuation_wall_us;
 };
 #define LC__WIRE__DATA_CENTRE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__data_centre__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Lc__Wire__Balancer
--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -499,6 +499,21 @@
   plane->has_agent = false;
 }
 
+static void
+lc_agent_flow__note_evacuated (LcAgentFlow *plane, const LcView *view)
+{
+  const LcDataCentre *dc = lc_view_dc (view, plane->agent.dc);
+  bool is_evacuated = dc != NULL && dc->is_evacuated;
+
+  if (is_evacuated == plane->is_evacuated)
+    return;
+  plane->is_evacuated = is_evacuated;
+  LC_INFO ("flow.evacuation", "is_evacuated", LC_U64 (is_evacuated), "revision",
+           LC_U64 (view->revision), "is_confirmed",
+           LC_U64 (lc_member_is_confirmed (plane->desc.member)), "open_flows",
+           LC_U64 (lc_flow_agent_open_flows (&plane->agent)));
+}
+
 void
 lc_agent_flow_view (
     LcAgentFlow *plane, const LcView *view, const LcViewOp *ops, size_t n_ops, bool is_reset)
@@ -512,6 +527,7 @@
   if (!plane->has_agent)
     return;
   lc_flow_agent_set_view (&plane->agent, view, now_us);
+  lc_agent_flow__note_evacuated (plane, view);
   lc_agent_flow__send_messages (plane, now_us);
   lc_datagram_flush (&plane->port);
 }
--- a/src/agent/lc-agent-flow.h
+++ b/src/agent/lc-agent-flow.h
@@ -58,6 +58,7 @@
   LcFlowBackend backend;
   bool is_leaving;    /* the backend server takes nothing new */
   bool is_fresh;      /* it began under this process, which knows all its flows */
+  bool is_evacuated;  /* as the view last said of its data centre */
   LcInstance started; /* the start that it reported */
   bool has_given_up;  /* nobody is left to take over: waiting longer would save nothing */
   int64_t hand_over_us;
--- a/src/agent/lc-agent-request.c
+++ b/src/agent/lc-agent-request.c
@@ -351,6 +351,8 @@
 
   lc_request_agent_view (&plane->core, lc_agent_request__service (plane), is_self ? self->id : 0,
                          lc_clock_now_us ());
+  lc_request_agent_set_evacuated (&plane->core,
+                                  self != NULL && lc_view_is_evacuated (view, self->dc));
   lc_agent_request__act (plane);
 }
 
--- a/src/cli/lc-cli-attention.c
+++ b/src/cli/lc-cli-attention.c
@@ -88,6 +88,13 @@
   {
     json_int_t silent_ms = lc_cli_attention__int (dc, "silent_ms");
 
+    if (json_object_get (dc, "evacuated_for_ms") != NULL)
+      lc_cli_attention__add (lines,
+                             "data centre %s is evacuated for %" JSON_INTEGER_FORMAT
+                             " s: `lychee evacuate --end %s` when it may take work again",
+                             lc_cli_attention__text (dc, "name"),
+                             lc_cli_attention__int (dc, "evacuated_for_ms") / 1000,
+                             lc_cli_attention__text (dc, "name"));
     if (silent_ms >= LC_CLI_DC_SILENT_MS)
       lc_cli_attention__add (lines,
                              "data centre %s is cut off for %" JSON_INTEGER_FORMAT
@@ -106,8 +113,11 @@
 
   json_array_foreach (json_object_get (status, "services"), i, one)
   {
+    /* An older control VM does not say how many take work. */
     json_int_t taking =
-        lc_cli_attention__int (one, "active") + lc_cli_attention__int (one, "joining");
+        json_object_get (one, "taking") != NULL
+            ? lc_cli_attention__int (one, "taking")
+            : lc_cli_attention__int (one, "active") + lc_cli_attention__int (one, "joining");
 
     if (taking == 0)
       lc_cli_attention__add (lines, "no backend server of %s takes work: start one, or undrain one",
--- a/src/cli/lc-cli-status.c
+++ b/src/cli/lc-cli-status.c
@@ -79,6 +79,9 @@
                   lc_cli__int (dc, "in_force"), lc_cli__int (dc, "balancers"),
                   lc_cli__int (dc, "agents"), lc_cli__int (dc, "behind"),
                   lc_cli__int (dc, "silent_ms"));
+    if (json_object_get (dc, "evacuated_for_ms") != NULL)
+      (void)printf ("    evacuated for %" JSON_INTEGER_FORMAT " s: no new work there\n",
+                    lc_cli__int (dc, "evacuated_for_ms") / 1000);
   }
 }
 
--- a/src/cli/lc-cli.h
+++ b/src/cli/lc-cli.h
@@ -73,6 +73,7 @@
 /* The subcommands; argv[0] is the subcommand's name. */
 int lc_cli_plan (int argc, char **argv);
 int lc_cli_confirm (int argc, char **argv);
+int lc_cli_evacuate (int argc, char **argv);
 int lc_cli_status (int argc, char **argv);
 int lc_cli_history (int argc, char **argv);
 int lc_cli_burn (int argc, char **argv);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -16,6 +16,7 @@
 static const LcCliCommand LC_CLI_COMMANDS[] = {
   { "plan", lc_cli_plan, "show what an intent would change" },
   { "confirm", lc_cli_confirm, "carry out a plan" },
+  { "evacuate", lc_cli_evacuate, "give a data centre no new work, or take that back" },
   { "status", lc_cli_status, "members, data centres, services, work under way" },
   { "history", lc_cli_history, "who changed what, and when" },
   { "burn", lc_cli_burn, "how fast services spend their error budgets" },
--- a/src/control/lc-control-codec.c
+++ b/src/control/lc-control-codec.c
@@ -207,6 +207,31 @@
   return ok;
 }
 
+static Lc__Wire__Evacuation *
+lc_codec__write_evacuation (LcArena *arena, const LcEvacuation *order)
+{
+  Lc__Wire__Evacuation *m = lc_codec__new (arena, 1, sizeof *m);
+
+  lc__wire__evacuation__init (m);
+  m->data_centre = (char *)order->data_centre;
+  m->is_wanted = order->is_wanted;
+  m->allow_empty = order->allow_empty;
+  m->seen_revision = order->seen_revision;
+  return m;
+}
+
+static bool
+lc_codec__read_evacuation (LcEvacuation *order, const Lc__Wire__Evacuation *m)
+{
+  if (m == NULL || m->data_centre[0] == '\0' ||
+      !lc_codec__copy (order->data_centre, LC_NAME_MAX, m->data_centre))
+    return false;
+  order->is_wanted = m->is_wanted;
+  order->allow_empty = m->allow_empty;
+  order->seen_revision = m->seen_revision;
+  return true;
+}
+
 GBytes *
 lc_control_command_pack (const LcControlCommand *command)
 {
@@ -233,6 +258,9 @@
     case LC_COMMAND_NUMBERED:
       m.numbered = lc_codec__write_numbered (arena, &command->numbered);
       break;
+    case LC_COMMAND_EVACUATE:
+      m.evacuation = lc_codec__write_evacuation (arena, &command->evacuation);
+      break;
     }
   bytes = lc_codec__pack (&m.base);
   g_ptr_array_unref (arena);
@@ -261,6 +289,9 @@
       return true;
     case LC_COMMAND_NUMBERED:
       return lc_codec__read_numbered (&command->numbered, m->numbered);
+    case LC_COMMAND_EVACUATE:
+      return command->request_id[0] != '\0' &&
+             lc_codec__read_evacuation (&command->evacuation, m->evacuation);
     default:
       return false;
     }
--- a/src/control/lc-control-http-status.c
+++ b/src/control/lc-control-http-status.c
@@ -54,6 +54,10 @@
   (void)json_object_set_new (
       one, "state",
       json_string (known != NULL && known->state == LC_DC_RETIRING ? "retiring" : "active"));
+  if (known != NULL && known->is_evacuated)
+    (void)json_object_set_new (
+        one, "evacuated_for_ms",
+        json_integer (MAX (lc_clock_wall_us () - known->evacuation_wall_us, 0) / LC_US_PER_MS));
   (void)json_object_set_new (one, "in_force", json_integer ((json_int_t)dc->in_force_revision));
   (void)json_object_set_new (one, "balancers", json_integer (dc->n_balancers));
   (void)json_object_set_new (one, "agents", json_integer (dc->n_agents));
--- a/src/control/lc-control-http.c
+++ b/src/control/lc-control-http.c
@@ -3,6 +3,7 @@
 #include "io/lc-clock.h"
 #include "lc-control-json.h"
 #include "platform/lc-platform-declaration.h"
+#include "platform/lc-platform-evacuation.h"
 
 #include <string.h>
 
@@ -66,8 +67,10 @@
     }
   body = plan != NULL ? lc_control_json_plan (state, plan) : json_object ();
   (void)json_object_set_new (body, "plan_id", json_integer ((json_int_t)answer->plan_id));
-  if (command->kind == LC_COMMAND_CONFIRM)
+  if (command->kind != LC_COMMAND_PLAN)
     (void)json_object_set_new (body, "revision", json_integer ((json_int_t)answer->revision));
+  if (command->kind == LC_COMMAND_EVACUATE)
+    (void)json_object_set_new (body, "services", lc_control_json_left (state));
   lc_control_http__send (req, 200, body);
 }
 
@@ -192,6 +195,8 @@
           lc_control_http__time_out (http, wait);
           lc_control_http__end_wait (http, wait);
         }
+      else if (wait->req == NULL && wait->command.kind == LC_COMMAND_EVACUATE)
+        lc_control_http__end_wait (http, wait); /* its operator gives it to another VM, or not */
       else if (now_us >= wait->resend_us)
         {
           /* Applying it twice is harmless: the second finds the first answer. */
@@ -264,6 +269,71 @@
   lc_control_http__wait (http, req, &command);
 }
 
+/* === private: evacuations =================================================================== */
+
+static void
+lc_control_http__log_evacuation (const LcControlCommand *command, const char *outcome)
+{
+  LC_INFO ("evacuation.ordered", "data_centre", LC_STR (command->evacuation.data_centre),
+           "is_wanted", LC_U64 (command->evacuation.is_wanted), "request_id",
+           LC_STR (command->request_id), "seen_revision",
+           LC_U64 (command->evacuation.seen_revision), "outcome", LC_STR (outcome));
+}
+
+/* Hands an order over, with what this VM has seen of its data centre. */
+static void
+lc_control_http__evacuate (LcControlHttp *http, h2o_req_t *req, LcControlCommand *command)
+{
+  const LcControlState *state = lc_replica_state (http->desc.replica);
+  const LcDataCentre *dc = lc_view_dc_by_name (&state->view, command->evacuation.data_centre);
+  LcError error = { 0 };
+
+  if (http->waiting->len >= LC_CONTROL_HTTP_WAITING_MAX)
+    {
+      lc_control_http__log_evacuation (command, "refused: too many wait");
+      (void)lc_error_set (&error, LC_ERR_UNAVAILABLE, "send it again in a second",
+                          "%d requests wait already", LC_CONTROL_HTTP_WAITING_MAX);
+      lc_control_http__fail (http, req, &error);
+      return;
+    }
+  command->kind = LC_COMMAND_EVACUATE;
+  command->evacuation.seen_revision = dc != NULL ? dc->evacuation_revision : 0;
+  command->wall_us = lc_clock_wall_us ();
+  lc_control_http__log_evacuation (command, "handed over");
+  lc_control_http__wait (http, req, command);
+}
+
+static void
+lc_control_http__evacuate_by_json (LcControlHttp *http, h2o_req_t *req)
+{
+  LcControlCommand command;
+  LcError error = { 0 };
+
+  if (lc_control_json_read_evacuation (&command, req->entity.base, req->entity.len, &error) < 0)
+    lc_control_http__fail (http, req, &error);
+  else
+    lc_control_http__evacuate (http, req, &command);
+}
+
+/* The platform's orders have no id: one that is sent again is another order for the same. */
+static void
+lc_control_http__evacuate_by_path (LcControlHttp *http, h2o_req_t *req, const LcPlatformCall *call)
+{
+  LcControlCommand command = { .kind = LC_COMMAND_EVACUATE };
+  LcError error = { 0 };
+
+  if (lc_platform_evacuation_read (&command.evacuation, call, &error) < 0)
+    {
+      LC_INFO ("evacuation.refused", "message", LC_STR (error.message));
+      lc_control_http__fail (http, req, &error);
+      return;
+    }
+  (void)g_snprintf (command.request_id, sizeof command.request_id, "order-%08x%08x%08x",
+                    g_random_int (), g_random_int (), g_random_int ());
+  (void)g_strlcpy (command.who, "operator", sizeof command.who);
+  lc_control_http__evacuate (http, req, &command);
+}
+
 /* === private: numbered declarations ========================================================= */
 
 static void
@@ -387,12 +457,18 @@
                           req->path_normalized.len, req->entity.base, req->entity.len };
 
   LcPlatformDeclarationCall kind = lc_platform_declaration_call (&call);
+  bool is_evacuation = lc_platform_evacuation_is (&call);
 
-  if (kind != LC_PLATFORM_OTHER && !http->desc.replica->is_formed)
+  if ((kind != LC_PLATFORM_OTHER || is_evacuation) && !http->desc.replica->is_formed)
     {
       lc_control_http__pass_on (http, req);
       return true;
     }
+  if (is_evacuation)
+    {
+      lc_control_http__evacuate_by_path (http, req, &call);
+      return true;
+    }
   switch (kind)
     {
     case LC_PLATFORM_DECLARE:
@@ -491,6 +567,8 @@
     lc_control_http__command (http, req, true);
   else if (lc_control_http__is (req, "POST", "/v1/confirm"))
     lc_control_http__command (http, req, false);
+  else if (lc_control_http__is (req, "POST", "/v1/evacuate"))
+    lc_control_http__evacuate_by_json (http, req);
   else if (lc_control_http__is (req, "GET", "/v1/status"))
     lc_control_http__status (http, req);
   else if (lc_control_http__is (req, "GET", "/v1/history"))
--- a/src/control/lc-control-json-write.c
+++ b/src/control/lc-control-json-write.c
@@ -94,6 +94,8 @@
       (void)json_object_set_new (one, "objective_ppm", json_integer (s->objective_ppm));
       (void)json_object_set_new (one, "objective_latency_ms",
                                  json_integer (s->objective_latency_ms));
+      (void)json_object_set_new (one, "taking",
+                                 json_integer (lc_evacuation_left (&state->view, s, 0)));
       for (int state_at = LC_ENDPOINT_JOINING; state_at <= LC_ENDPOINT_LOST; state_at++)
         (void)json_object_set_new (one, LC_ENDPOINT_STATES[state_at],
                                    json_integer (counts[state_at]));
@@ -103,6 +105,27 @@
   return out;
 }
 
+json_t *
+lc_control_json_left (const LcControlState *state)
+{
+  json_t *out = json_array ();
+  GPtrArray *services = lc_control_state_services (state);
+
+  for (guint i = 0; i < services->len; i++)
+    {
+      const LcService *s = g_ptr_array_index (services, i);
+      json_t *one = json_object ();
+
+      (void)json_object_set_new (one, "name", json_string (s->name));
+      (void)json_object_set_new (one, "taking",
+                                 json_integer (lc_evacuation_left (&state->view, s, 0)));
+      (void)json_object_set_new (one, "of", json_integer (s->n_endpoints));
+      (void)json_array_append_new (out, one);
+    }
+  g_ptr_array_unref (services);
+  return out;
+}
+
 static json_t *
 lc_json__peer_address (uint32_t ipv4, uint16_t port)
 {
--- a/src/control/lc-control-json.c
+++ b/src/control/lc-control-json.c
@@ -404,3 +404,33 @@
   json_decref (root);
   return r;
 }
+
+int
+lc_control_json_read_evacuation (LcControlCommand *command,
+                                 const char *body,
+                                 size_t len,
+                                 LcError *error)
+{
+  static const char *const KNOWN[] = { "request_id", "who",         "data_centre",
+                                       "is_wanted",  "allow_empty", NULL };
+  int r = 0;
+  json_t *root = lc_json__load (body, len, KNOWN, &r, error);
+  const json_t *is_wanted = json_object_get (root, "is_wanted");
+  LcEvacuation *order = &command->evacuation;
+
+  memset (command, 0, sizeof *command);
+  command->kind = LC_COMMAND_EVACUATE;
+  if (r == 0)
+    r = lc_json__head (root, command, error);
+  if (r == 0)
+    r = lc_json__string (root, "data_centre", "request", true, order->data_centre, LC_NAME_MAX,
+                         error);
+  if (r == 0 && order->data_centre[0] == '\0')
+    r = lc_json__wrong ("request.data_centre", "the name of a data centre", error);
+  if (r == 0 && !json_is_boolean (is_wanted))
+    r = lc_json__wrong ("request.is_wanted", "true to begin, false to end", error);
+  order->is_wanted = json_is_true (is_wanted);
+  order->allow_empty = json_is_true (json_object_get (root, "allow_empty"));
+  json_decref (root);
+  return r;
+}
--- a/src/control/lc-control-json.h
+++ b/src/control/lc-control-json.h
@@ -1,8 +1,8 @@
 /* lc-control-json: operators' requests and answers as JSON.
  *
  * WHAT IT IS
- *   Reads the bodies of POST /v1/plan and /v1/confirm into commands, naming the place of anything
- *   unknown or out of range, and writes plans, history and status.
+ *   Reads the bodies of POST /v1/plan, /v1/confirm and /v1/evacuate into commands, naming the place
+ * of anything unknown or out of range, and writes plans, history and status.
  *
  * HOW TO USE IT
  *     lc_control_json_read_plan (&command, body, len, &error);     then lc_control_command_finish
@@ -23,10 +23,17 @@
                                   size_t len,
                                   LcError *error);
 
+int lc_control_json_read_evacuation (LcControlCommand *command,
+                                     const char *body,
+                                     size_t len,
+                                     LcError *error);
+
 json_t *lc_control_json_plan (const LcControlState *state, const LcPlan *plan);
 /* The newest `max` entries whose revision is over `after`, oldest first. */
 json_t *lc_control_json_history (const LcControlState *state, LcRevision after, uint32_t max);
 json_t *lc_control_json_services (const LcControlState *state);
+/* Of each service how many endpoints take new work, of how many: what evacuations leave. */
+json_t *lc_control_json_left (const LcControlState *state);
 /* At most `max` endpoints, by name order of their services. */
 json_t *lc_control_json_endpoints (const LcControlState *state, uint32_t max);
 json_t *lc_control_json_balancers (const LcControlState *state);
--- a/src/core/control/lc-control-plan.c
+++ b/src/core/control/lc-control-plan.c
@@ -67,14 +67,11 @@
 
 /* === private: draining ====================================================================== */
 
+/* Those of an evacuated data centre take nothing: they don't count as left. */
 static uint32_t
-lc_plan__n_candidates (const LcService *s)
+lc_plan__n_candidates (const LcPlanWork *work, const LcService *s)
 {
-  uint32_t n = 0;
-
-  for (uint32_t i = 0; i < s->n_endpoints; i++)
-    n += lc_endpoint_is_candidate (&s->endpoints[i]) ? 1 : 0;
-  return n;
+  return lc_evacuation_left (&work->state->view, s, 0);
 }
 
 static void
@@ -102,6 +99,7 @@
   const LcEndpointRecord *record = g_hash_table_lookup (work->state->endpoints, intent->target);
   const LcEndpoint *e = record != NULL ? lc_view_endpoint (&work->state->view, record->id) : NULL;
   const LcService *s = e != NULL ? lc_view_service (&work->state->view, e->service_id) : NULL;
+  uint32_t n_left;
 
   if (record == NULL)
     return lc_plan__unknown ("endpoint", intent->target, error);
@@ -113,14 +111,16 @@
                 record->name);
   if (s == NULL || !lc_endpoint_is_candidate (e))
     return 0;
+  n_left = lc_plan__n_candidates (work, s);
+  if (!lc_view_is_evacuated (&work->state->view, e->dc))
+    n_left--;
   work->n_moved = 1;
   work->waits_for_flows = true;
   lc_plan__set_state (work, e, LC_ENDPOINT_DRAINING);
-  lc_plan__say (work->steps, "new work of %s goes to its %u other endpoints", s->name,
-                lc_plan__n_candidates (s) - 1);
+  lc_plan__say (work->steps, "new work of %s goes to its %u other endpoints", s->name, n_left);
   lc_plan__say (work->steps, "established flows and running requests of %s end by themselves",
                 record->name);
-  lc_plan__note_emptied (work, s, lc_plan__n_candidates (s) - 1);
+  lc_plan__note_emptied (work, s, n_left);
   return 0;
 }
 
@@ -181,7 +181,7 @@
     {
       const LcService *s = g_ptr_array_index (services, i);
       uint32_t n = lc_plan__drain_service_in (work, s, dc->id);
-      uint32_t n_left = lc_plan__n_candidates (s) - n;
+      uint32_t n_left = lc_evacuation_left (&work->state->view, s, dc->id);
 
       if (n == 0)
         continue;
--- a/src/core/control/lc-control-private.h
+++ b/src/core/control/lc-control-private.h
@@ -12,6 +12,12 @@
 /* lc-control-member.c */
 void lc_control__member (LcControlState *state, LcRevision revision, const LcMemberChange *change);
 
+/* lc-control-evacuate.c: 0 also when the order is in force already. */
+int lc_control__evacuate (LcControlState *state,
+                          LcRevision revision,
+                          const LcControlCommand *command,
+                          LcError *error);
+
 /* lc-control-declare.c: orders LcAddress, the same on every replica. */
 int lc_control__compare_addresses (gconstpointer a, gconstpointer b);
 /* lc-control-numbered.c: false when the number is not above the one that is held. */
--- a/src/core/control/lc-control-state.c
+++ b/src/core/control/lc-control-state.c
@@ -135,6 +135,9 @@
 
   if (c->kind == LC_COMMAND_CONFIRM)
     return XXH3_64bits_withSeed (&c->plan_id, sizeof c->plan_id, hash);
+  if (c->kind == LC_COMMAND_EVACUATE)
+    return XXH3_64bits_withSeed (c->evacuation.data_centre, strlen (c->evacuation.data_centre),
+                                 hash ^ (c->evacuation.is_wanted ? 1U : 0U));
   hash = XXH3_64bits_withSeed (&c->intent.kind, sizeof c->intent.kind, hash);
   hash = XXH3_64bits_withSeed (c->intent.target, strlen (c->intent.target), hash);
   for (uint32_t i = 0; i < d->n_services; i++)
@@ -377,7 +380,7 @@
 static bool
 lc_control__is_resend (LcControlState *state, const LcControlCommand *c)
 {
-  if (c->kind != LC_COMMAND_PLAN && c->kind != LC_COMMAND_CONFIRM)
+  if (c->kind != LC_COMMAND_PLAN && c->kind != LC_COMMAND_CONFIRM && c->kind != LC_COMMAND_EVACUATE)
     return false;
   if (g_hash_table_lookup (state->answers, c->request_id) == NULL)
     return false;
@@ -415,6 +418,22 @@
   lc_control__record (state, index, c, 0, "declare", summary);
 }
 
+static void
+lc_control__evacuation (LcControlState *state, LcRevision index, const LcControlCommand *c)
+{
+  LcControlAnswer *answer = lc_control__new_answer (state, index, c);
+  char summary[LC_CONTROL_SUMMARY_MAX];
+  LcError error = { 0 };
+
+  if (lc_control__evacuate (state, index, c, &error) < 0)
+    lc_control__answer_error (answer, &error);
+  answer->revision = state->view.revision;
+  (void)g_snprintf (summary, sizeof summary, "%s the evacuation of %s%s",
+                    c->evacuation.is_wanted ? "begin" : "end", c->evacuation.data_centre,
+                    answer->code == LC_OK && state->ops->len == 0 ? ": in force already" : "");
+  lc_control__record (state, index, c, 0, answer->code == LC_OK ? "evacuate" : "refused", summary);
+}
+
 void
 lc_control_state_apply (LcControlState *state, LcRevision index, const LcControlCommand *c)
 {
@@ -439,6 +458,9 @@
     case LC_COMMAND_NUMBERED:
       lc_control__numbered (state, index, c);
       break;
+    case LC_COMMAND_EVACUATE:
+      lc_control__evacuation (state, index, c);
+      break;
     }
 }
 
--- a/src/core/control/lc-control-state.h
+++ b/src/core/control/lc-control-state.h
@@ -25,6 +25,8 @@
  *   - A numbered declaration is in force once it is applied, unless one with its number or a higher
  *     one was before; plans made before it are superseded.  Whoever sent it has its answer when
  *     state.numbered.number has reached its number.
+ *   - An evacuation is carried out as it is applied, in any order with declarations and plans;
+ * plans made before it stay open, and are checked again when they are confirmed.
  *   - An operator's drain belongs to the endpoint's name and stays over restarts of its agent.
  *
  * LIFETIME
@@ -35,6 +37,7 @@
 
 #include "core/lc-view.h"
 #include "core/member/lc-member-change.h"
+#include "lc-evacuation.h"
 #include "lc-numbered.h"
 
 #ifdef __cplusplus
@@ -58,12 +61,13 @@
     LC_COMMAND_MEMBER = 3,
     LC_COMMAND_REPLACED = 4, /* the change of control VMs is done; by the leader itself */
     LC_COMMAND_NUMBERED = 5, /* a numbered declaration: lc-numbered.h */
+    LC_COMMAND_EVACUATE = 6, /* begins or ends an evacuation: lc-evacuation.h */
   } LcControlCommandKind;
 
   typedef struct
   {
     LcControlCommandKind kind;
-    char request_id[LC_NAME_MAX]; /* plan and confirm: unique, and equal in a resend */
+    char request_id[LC_NAME_MAX]; /* of what is answered: unique, and equal in a resend */
     char who[LC_NAME_MAX];
     int64_t wall_us; /* of the VM that took it, for the history */
     union
@@ -72,6 +76,7 @@
       uint64_t plan_id;
       LcMemberChange member;
       LcNumberedDeclaration numbered;
+      LcEvacuation evacuation;
     };
   } LcControlCommand;
 
--- a/src/core/flow/lc-assign.c
+++ b/src/core/flow/lc-assign.c
@@ -122,6 +122,12 @@
 {
   if (!p->is_candidate || lc_assign__is_stale (a, p, now_us))
     return false;
+  if (p->is_evacuated)
+    {
+      if (a->failure == LC_DROP_NO_ENDPOINT)
+        a->failure = LC_DROP_EVACUATED;
+      return false;
+    }
   if (!p->is_accepting || now_us < p->refusing_until_us ||
       (p->connection_limit != 0 && p->open_flows >= p->connection_limit))
     {
@@ -326,6 +332,13 @@
   a->self_id = self_id;
 }
 
+void
+lc_assign_set_evacuated (LcAssign *a, const LcView *view)
+{
+  for (uint32_t i = 0; i < a->n_peers; i++)
+    a->peers[i].is_evacuated = lc_view_is_evacuated (view, a->peers[i].dc);
+}
+
 LcAssignPeer *
 lc_assign_peer (const LcAssign *a, LcEndpointId id)
 {
--- a/src/core/flow/lc-assign.h
+++ b/src/core/flow/lc-assign.h
@@ -5,19 +5,21 @@
  *   themselves and tell each other) and the choice by it.
  *
  * THE CHOICE
- *   An endpoint may take the flow when it is a candidate in the view, is not refusing at present,
- *   and is below its connection limit.  Endpoints whose backend server looks bad are passed over,
- *   unless more than half of them look bad: then the sign is not believed and all are used (the
- *   guard).  Among the rest, load is open flows over capacity, and capacity is weight times the
- *   cold-start ramp.  Endpoints of the balancer's data centre go first while the best of them is
- *   within the spillover margin of the best of all.  The assigner keeps the flow itself while its
- *   own load is within a tolerance of the lowest.  An endpoint whose byte rate is well above the
- * mean counts as loaded by that much more: a few heavy flows weigh in a second dimension.
+ *   An endpoint may take the flow when it is a candidate in the view, its data centre is not
+ *   evacuated, it is not refusing at present, and it is below its connection limit.  Endpoints
+ * whose backend server looks bad are passed over, unless more than half of them look bad: then the
+ * sign is not believed and all are used (the guard).  Among the rest, load is open flows over
+ * capacity, and capacity is weight times the cold-start ramp.  Endpoints of the balancer's data
+ * centre go first while the best of them is within the spillover margin of the best of all.  The
+ * assigner keeps the flow itself while its own load is within a tolerance of the lowest.  An
+ * endpoint whose byte rate is well above the mean counts as loaded by that much more: a few heavy
+ * flows weigh in a second dimension.
  *
  * HOW TO USE IT
  *     LcAssign assign;
  *     lc_assign_init (&assign, &desc);
  *     lc_assign_set_members (&assign, service, self_id, now_us);     after each view change
+ *     lc_assign_set_evacuated (&assign, view);                       and this
  *     lc_assign_report (&assign, &load, now_us);                     a peer's count
  *     int i = lc_assign_choose (&assign, hash, dc, now_us);          -1: nobody can
  *     lc_assign_note (&assign, i);                                   before the next report
@@ -101,6 +103,7 @@
     int64_t lost_us;   /* when this agent first saw it LOST; 0: it is not */
     int64_t asked_us;  /* when a searcher asked it first since it said anything; 0: it has spoken */
     bool is_candidate;
+    bool is_evacuated; /* its data centre is */
     bool is_accepting;
     bool looks_bad;
     bool is_warm;
@@ -125,6 +128,8 @@
                               const LcService *service,
                               LcEndpointId self_id,
                               int64_t now_us);
+  /* Marks the members whose data centres the view has as evacuated. */
+  void lc_assign_set_evacuated (LcAssign *assign, const LcView *view);
   LcAssignPeer *lc_assign_peer (const LcAssign *assign, LcEndpointId id);
   void lc_assign_report (LcAssign *assign, const LcFlowLoad *load, int64_t now_us);
   /* The endpoint refused a flow: it is passed over for a second. */
--- a/src/core/flow/lc-envelope.c
+++ b/src/core/flow/lc-envelope.c
@@ -150,6 +150,7 @@
     [LC_DROP_MALFORMED] = "malformed",
     [LC_DROP_NO_SERVICE] = "no-service",
     [LC_DROP_NO_MEMORY] = "no-memory",
+    [LC_DROP_EVACUATED] = "evacuated",
   };
 
   return reason < LC_N_DROP_REASONS ? NAMES[reason] : "unknown";
--- a/src/core/flow/lc-flow-agent-packet.c
+++ b/src/core/flow/lc-flow-agent-packet.c
@@ -38,10 +38,17 @@
   return known;
 }
 
+/* By the newest view here: an assigner whose view is older may still choose this endpoint. */
+bool
+lc_flow_agent__is_evacuated (const LcFlowAgent *a)
+{
+  return a->view != NULL && lc_view_is_evacuated (a->view, a->dc);
+}
+
 bool
 lc_flow_agent__is_accepting (const LcFlowAgent *a)
 {
-  if (a->is_leaving || a->backend == LC_FLOW_BACKEND_NONE ||
+  if (lc_flow_agent__is_evacuated (a) || a->is_leaving || a->backend == LC_FLOW_BACKEND_NONE ||
       (a->backend == LC_FLOW_BACKEND_ASKED && a->has_refused))
     return false;
   /* Where backend servers return what is not theirs, an agent that counts as lost does no harm. */
--- a/src/core/flow/lc-flow-agent-private.h
+++ b/src/core/flow/lc-flow-agent-private.h
@@ -21,6 +21,7 @@
   void lc_flow_agent__note_success (LcFlowAgent *agent);
   bool lc_flow_agent__looks_bad (const LcFlowAgent *agent, int64_t now_us);
   LcSteerKnown lc_flow_agent__known (const LcFlowAgent *agent, const LcFlow *flow);
+  bool lc_flow_agent__is_evacuated (const LcFlowAgent *agent);
   bool lc_flow_agent__is_accepting (const LcFlowAgent *agent);
   LcFlowAction lc_flow_agent__drop (LcFlowAgent *agent, LcDropReason reason);
   LcFlowAction lc_flow_agent__send (LcFlowAgent *agent,
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -187,6 +187,7 @@
 
   a->view = view;
   lc_assign_set_members (&a->assign, service, a->desc.self.id, now_us);
+  lc_assign_set_evacuated (&a->assign, view);
   lc_candidate_sets_finish (&a->previous_sets);
   a->previous_sets = a->sets;
   memset (&a->sets, 0, sizeof a->sets);
--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -98,7 +98,8 @@
     LcFlowAgent *a, LcEnvelope *e, LcFlow *f, const LcPacket *packet, int64_t now_us)
 {
   if (!lc_flow_agent__is_accepting (a))
-    return lc_flow_agent__refuse (a, e, LC_DROP_LEAVING);
+    return lc_flow_agent__refuse (
+        a, e, lc_flow_agent__is_evacuated (a) ? LC_DROP_EVACUATED : LC_DROP_LEAVING);
   if (lc_flow_agent__looks_bad (a, now_us) && lc_assign_may_leave_out_self (&a->assign, now_us))
     return lc_flow_agent__refuse (a, e, LC_DROP_LIMIT);
   return lc_flow_return__marked (a, lc_flow_agent__take (a, f, packet, now_us), e, packet, now_us);
--- a/src/core/lc-view-look.c
+++ b/src/core/lc-view-look.c
@@ -88,6 +88,14 @@
   return NULL;
 }
 
+bool
+lc_view_is_evacuated (const LcView *view, LcDcId id)
+{
+  const LcDataCentre *dc = lc_view_dc (view, id);
+
+  return dc != NULL && dc->is_evacuated;
+}
+
 const LcDataCentre *
 lc_view_dc_by_name (const LcView *view, const char *name)
 {
--- a/src/core/lc-view.h
+++ b/src/core/lc-view.h
@@ -50,7 +50,10 @@
   typedef struct
   {
     LcDcId id;
-    uint8_t state; /* LcDcState */
+    uint8_t state;     /* LcDcState */
+    bool is_evacuated; /* its endpoints get no new work: core/control/lc-evacuation.h */
+    LcRevision evacuation_revision; /* that began or ended its evacuation last; 0: none did */
+    int64_t evacuation_wall_us;     /* when that was ordered, at the VM that took the order */
     char name[LC_NAME_MAX];
     char region[LC_NAME_MAX];
   } LcDataCentre;
@@ -208,6 +211,8 @@
   const LcEndpoint *lc_view_endpoint_by_name (const LcView *view, const char *name);
   const LcDataCentre *lc_view_dc (const LcView *view, LcDcId id);
   const LcDataCentre *lc_view_dc_by_name (const LcView *view, const char *name);
+  /* Whether the data centre is evacuated; one that is not known is not. */
+  bool lc_view_is_evacuated (const LcView *view, LcDcId id);
   const LcBalancer *lc_view_balancer (const LcView *view, LcBalancerId id);
   const LcBalancer *lc_view_balancer_by_name (const LcView *view, const char *name);
   const LcAddress *
--- a/src/core/request/lc-pick.c
+++ b/src/core/request/lc-pick.c
@@ -113,7 +113,7 @@
 static bool
 lc_pick__is_usable (const LcPickTarget *target, const LcInstance *tried, uint32_t n_tried)
 {
-  if (target->is_draining || !target->is_reachable)
+  if (target->is_draining || target->is_evacuated || !target->is_reachable)
     return false;
   for (uint32_t i = 0; i < n_tried; i++)
     if (tried[i] == target->ref.instance)
@@ -217,6 +217,13 @@
   pick->has_view = n_targets > 0;
 }
 
+void
+lc_pick_set_evacuated (LcPick *pick, const LcView *view)
+{
+  for (uint32_t i = 0; i < pick->n_targets; i++)
+    pick->targets[i].is_evacuated = lc_view_is_evacuated (view, pick->targets[i].dc);
+}
+
 LcPickTarget *
 lc_pick_find (LcPick *pick, LcInstance instance)
 {
--- a/src/core/request/lc-pick.h
+++ b/src/core/request/lc-pick.h
@@ -67,6 +67,7 @@
     int64_t heard_us;   /* last message from it, or first attempt sent since */
     uint32_t refusals;  /* smoothed share of attempts that its backend server shed, in 1/256 */
     bool is_draining;
+    bool is_evacuated;     /* its data centre is */
     bool is_reachable;     /* its link is up, or not yet tried */
     int64_t connecting_us; /* its link was first asked for then and is being made; 0: it is not */
     LcOutlier outlier;
@@ -86,6 +87,9 @@
   /* Takes the service's candidates; what is known of an instance that stays is kept. */
   void lc_pick_set (LcPick *pick, const LcService *service, int64_t now_us);
 
+  /* Marks the endpoints whose data centres the view has as evacuated: none of them is chosen. */
+  void lc_pick_set_evacuated (LcPick *pick, const LcView *view);
+
   void lc_pick_begin (LcPickTarget *target, int64_t now_us);
   void lc_pick_end (LcPickTarget *target);
 
--- a/src/core/request/lc-request-agent-run.c
+++ b/src/core/request/lc-request-agent-run.c
@@ -277,6 +277,11 @@
       lc_agent__abandon_plain (agent, run, LC_REFUSE_REVOKED);
       return;
     }
+  if (agent->is_evacuated) /* since this run began to claim its key */
+    {
+      lc_agent__abandon_plain (agent, run, LC_REFUSE_DRAINING);
+      return;
+    }
   result =
       lc_admission_submit (&agent->admission, run->id, run->deadline_us, now_us, &retry_after_us);
   if (result == LC_ADMISSION_START)
--- a/src/core/request/lc-request-agent.c
+++ b/src/core/request/lc-request-agent.c
@@ -42,7 +42,7 @@
 {
   bool is_keyed = !lc_request_key_is_none (attempt->key);
 
-  if (agent->is_draining)
+  if (agent->is_draining || agent->is_evacuated)
     return LC_REFUSE_DRAINING;
   if (attempt->deadline_us <= now_us)
     return LC_REFUSE_TOO_LATE;
@@ -444,6 +444,29 @@
   lc_agent__expire (agent, now_us);
 }
 
+void
+lc_request_agent_set_evacuated (LcRequestAgent *agent, bool is_evacuated)
+{
+  bool begins = is_evacuated && !agent->is_evacuated;
+  guint n;
+  uint64_t *ids;
+
+  agent->is_evacuated = is_evacuated;
+  if (!begins)
+    return;
+  ids = lc_agent__active_ids (agent, &n);
+  for (guint i = 0; i < n; i++)
+    {
+      LcRun *run = g_hash_table_lookup (agent->active, &ids[i]);
+
+      if (run == NULL || run->state != LC_RUN_STATE_QUEUED)
+        continue;
+      (void)lc_admission_withdraw (&agent->admission, run->id);
+      lc_agent__abandon_plain (agent, run, LC_REFUSE_DRAINING);
+    }
+  g_free (ids);
+}
+
 void
 lc_request_agent_drain (LcRequestAgent *agent)
 {
--- a/src/core/request/lc-request-agent.h
+++ b/src/core/request/lc-request-agent.h
@@ -151,6 +151,7 @@
     int64_t read_us; /* when members were asked last */
     int64_t expired_us;
     bool is_draining;
+    bool is_evacuated; /* its data centre is: nothing new is run, what runs goes on */
   } LcRequestAgent;
 
   void lc_request_agent_init (LcRequestAgent *agent, const LcRequestAgentDesc *desc);
@@ -162,6 +163,10 @@
                               LcEndpointId self_id,
                               int64_t now_us);
 
+  /* Whether the newest view has its data centre as evacuated.  What waits then is refused as not
+   * run, so that its balancer can place it elsewhere. */
+  void lc_request_agent_set_evacuated (LcRequestAgent *agent, bool is_evacuated);
+
   /* A whole attempt has arrived.  Returns the id of the run whose payload it brings, else 0. */
   uint64_t
   lc_request_agent_attempt (LcRequestAgent *agent, const LcAgentAttempt *attempt, int64_t now_us);
--- a/src/core/request/lc-request-flight.c
+++ b/src/core/request/lc-request-flight.c
@@ -80,6 +80,7 @@
       lc_balancer__index (b, state, true);
       state->membership_revision = revision;
     }
+  lc_pick_set_evacuated (&state->pick, b->view);
   if (service == NULL)
     return;
   limits = lc_balancer__limits (service);
--- a/src/io/lc-wire-view.c
+++ b/src/io/lc-wire-view.c
@@ -31,6 +31,9 @@
   w->dc.state = dc->state;
   w->dc.name = (char *)dc->name;
   w->dc.region = (char *)dc->region;
+  w->dc.is_evacuated = dc->is_evacuated;
+  w->dc.evacuation_revision = dc->evacuation_revision;
+  w->dc.evacuation_wall_us = dc->evacuation_wall_us;
   w->op.dc = &w->dc;
   w->op.body_case = LC__WIRE__VIEW_OP__BODY_DC;
 }
@@ -263,6 +266,9 @@
 
   dc->id = (LcDcId)message->id;
   dc->state = (uint8_t)message->state;
+  dc->is_evacuated = message->is_evacuated;
+  dc->evacuation_revision = message->evacuation_revision;
+  dc->evacuation_wall_us = message->evacuation_wall_us;
   r = lc_wire_view__copy (dc->name, sizeof dc->name, message->name, error);
   return r < 0 ? r : lc_wire_view__copy (dc->region, sizeof dc->region, message->region, error);
 }
--- a/tests/control/test_processes.py
+++ b/tests/control/test_processes.py
@@ -240,6 +240,54 @@
             revision = self.change(100 + number)
         return revision
 
+    def evacuated(self, vm):
+        return [dc["name"] for dc in vm.status()["data_centres"] if "evacuated_for_ms" in dc]
+
+    def order(self, vm, method, data_centre):
+        """An operator's call of the platform; the status of its answer after redirects."""
+        request = urllib.request.Request(f"http://{vm.address}:{vm.http}/evacuations/{data_centre}", method=method)
+        try:
+            with urllib.request.urlopen(request, timeout=LIMIT_S) as answer:
+                return answer.status, json.load(answer)
+        except urllib.error.HTTPError as error:
+            with error:
+                return error.code, json.load(error)
+
+    def test_evacuation(self):
+        """It is taken at any VM, outlives a kill of all and a lost disk, and is taken back once."""
+        self.open_market()
+        leader = self.leader()
+        follower = self.others(leader)[0]
+        balancer = Balancer(self.folder, Cluster.net, self.vms)
+        try:
+            self.wait("the data centre is known", lambda: leader.status()["balancers"])
+            code, answer = self.lychee("evacuate", "hall-xyz", vms=[follower])
+            self.assertEqual((code, answer["error"]["code"]), (1, "not-found"), answer)
+            self.assertIn("lychee status", answer["error"]["remedy"])
+            for vm in (follower, leader, follower):  # the last two were sent again
+                self.assertEqual(self.order(vm, "POST", "hall-atl")[0], 200)
+            self.wait("it is in force", lambda: self.evacuated(leader) == ["hall-atl"])
+            self.assertEqual(self.order(follower, "POST", "hall-xyz")[0], 404)
+            for vm in self.vms:
+                vm.kill()
+            lost = follower
+            shutil.rmtree(lost.data)
+            for vm in self.others(lost):
+                vm.start()
+            leader = self.leader(self.others(lost))
+            self.assertEqual(self.evacuated(leader), ["hall-atl"])
+            code, answer = self.lychee("evacuate", "--end", "hall-atl", vms=self.others(lost))
+            self.assertEqual(code, 0, answer)
+            self.assertEqual(self.order(leader, "DELETE", "hall-atl")[0], 200)
+            self.assertEqual(self.evacuated(leader), [])
+            code, answer = self.lychee("history", vms=[leader])
+            done = [one["summary"] for one in answer["history"] if one["action"] == "evacuate"]
+            self.assertEqual(done, ["begin the evacuation of hall-atl"]
+                             + ["begin the evacuation of hall-atl: in force already"] * 2
+                             + ["end the evacuation of hall-atl", "end the evacuation of hall-atl: in force already"])
+        finally:
+            balancer.stop()
+
     def test_lost_disk_and_second_loss(self):
         """A VM comes back with an empty folder, is replaced, then a second one is lost."""
         revision = self.open_market()
--- a/tests/flow/return-world.c
+++ b/tests/flow/return-world.c
@@ -39,6 +39,7 @@
   op.endpoint.service_id = 1;
   op.endpoint.instance = (LcInstance)(100 + i);
   op.endpoint.state = (uint8_t)state;
+  op.endpoint.dc = w->nodes[i].dc;
   op.endpoint.weight_percent = 100;
   op.endpoint.ipv4 = (uint32_t)i;
   op.endpoint.flow_port = 7100;
@@ -47,6 +48,26 @@
   rw_apply (w, &op);
 }
 
+void
+rw_place (RwWorld *w, int i, LcDcId dc)
+{
+  w->nodes[i].dc = dc;
+  rw_put_endpoint (w, i, LC_ENDPOINT_ACTIVE);
+  lc_flow_agent_set_dc (&w->nodes[i].agent, dc);
+}
+
+void
+rw_evacuate (RwWorld *w, LcDcId dc, bool is_evacuated)
+{
+  LcViewOp op = { .kind = LC_VIEW_DC };
+
+  op.dc.id = dc;
+  op.dc.state = LC_DC_ACTIVE;
+  op.dc.is_evacuated = is_evacuated;
+  (void)g_snprintf (op.dc.name, sizeof op.dc.name, "dc%u", dc);
+  rw_apply (w, &op);
+}
+
 static void
 rw_copy_op (void *user, const LcViewOp *op)
 {
@@ -101,6 +122,7 @@
                            .is_returning = true };
 
   lc_flow_agent_init (&w->nodes[i].agent, &desc, w->now_us);
+  lc_flow_agent_set_dc (&w->nodes[i].agent, w->nodes[i].dc);
   w->nodes[i].is_up = true;
   lc_flow_agent_set_view (&w->nodes[i].agent, rw_seen (w, i), w->now_us);
 }
--- a/tests/flow/return-world.h
+++ b/tests/flow/return-world.h
@@ -26,9 +26,10 @@
   {
     LcFlowAgent agent;
     bool is_up;
-    bool is_dead;           /* its backend server says nothing */
-    bool is_full;           /* returns first packets */
-    bool is_failing;        /* takes first packets, and resets the flow at its first request */
+    bool is_dead;    /* its backend server says nothing */
+    bool is_full;    /* returns first packets */
+    bool is_failing; /* takes first packets, and resets the flow at its first request */
+    LcDcId dc;
     bool holds[RW_N_FLOWS]; /* flows of its backend server */
     LcPacket *kept;         /* of searches, by place */
     uint32_t n_firsts;      /* first packets that its backend server took */
@@ -58,6 +59,10 @@
   LcPacket rw_packet_of (uint32_t flow, bool may_open);
   uint32_t rw_flow_of (const LcPacket *p);
   void rw_put_endpoint (RwWorld *w, int i, LcEndpointState state);
+  /* Moves the endpoint and its agent to a data centre; 0, where all begin: none. */
+  void rw_place (RwWorld *w, int i, LcDcId dc);
+  /* In the newest view only, until it is shown. */
+  void rw_evacuate (RwWorld *w, LcDcId dc, bool is_evacuated);
   void rw_show_agent (RwWorld *w, int i);
   void rw_show_balancer (RwWorld *w);
   /* Everybody sees the newest view. */
--- a/tests/request/test-request.c
+++ b/tests/request/test-request.c
@@ -8,6 +8,7 @@
 #include "core/request/lc-deadline.h"
 #include "core/request/lc-hedge.h"
 #include "core/request/lc-pick.h"
+#include "core/request/lc-request-agent.h"
 #include "core/request/lc-retry.h"
 #include "core/filter/lc-filter-answer.h"
 #include "core/filter/lc-filter-attempt.h"
@@ -237,6 +238,82 @@
 }
 END_TEST
 
+START_TEST (test_pick_passes_what_is_evacuated_over)
+{
+  LcService s = { 0 };
+  LcView view;
+  LcPick pick;
+
+  lc_view_init (&view);
+  add_endpoint (&s, 1, 1);
+  add_endpoint (&s, 2, 2);
+  lc_pick_init (&pick, &(LcPickDesc){ .own_dc = 1 });
+  lc_pick_set (&pick, &s, 1);
+  for (LcDcId evacuated = 0; evacuated <= 3; evacuated++)
+    {
+      const LcPickTarget *t;
+
+      for (LcDcId dc = 1; dc <= 2; dc++)
+        {
+          LcViewOp op = { .revision = 1, .kind = LC_VIEW_DC };
+
+          op.dc = (LcDataCentre){ .id = dc, .state = LC_DC_ACTIVE };
+          op.dc.is_evacuated = (evacuated & dc) != 0;
+          ck_assert_int_eq (lc_view_apply (&view, &op, NULL), 0);
+        }
+      lc_pick_set_evacuated (&pick, &view);
+      t = lc_pick_choose (&pick, 1, NULL, 0, 1);
+      ck_assert_msg ((t != NULL ? t->ref.id : 0) == (evacuated == 0   ? 1U
+                                                     : evacuated == 1 ? 2U
+                                                     : evacuated == 2 ? 1U
+                                                                      : 0U),
+                     "evacuated %u", evacuated);
+    }
+  lc_pick_finish (&pick);
+  lc_view_finish (&view);
+  g_free (s.endpoints);
+}
+END_TEST
+
+/* Requests by the time of an evacuation: one runs, one waits, one comes later, one after its end.
+ */
+START_TEST (test_evacuated_agent_refuses_what_does_not_run)
+{
+  LcRequestAgentDesc desc = { .self = { 1, 101 }, .admission = { .slots = 1 } };
+  LcAgentAttempt attempt = { .ask = { .link_id = 1 }, .instance = 101, .deadline_us = LC_US_PER_S };
+  LcAgentActionKind kinds[4] = { 0 };
+  LcRefuseReason reasons[4] = { 0 };
+  LcRequestAgent agent;
+  LcAgentAction action;
+
+  lc_request_agent_init (&agent, &desc);
+  for (uint64_t i = 0; i < 4; i++)
+    {
+      attempt.ask.id = (LcRequestId){ 1, i };
+      if (i >= 2)
+        lc_request_agent_set_evacuated (&agent, i == 2);
+      (void)lc_request_agent_attempt (&agent, &attempt, 1);
+    }
+  while (lc_request_agent_take (&agent, &action))
+    {
+      if (action.kind == LC_AGENT_START)
+        kinds[0] = action.kind;
+      if (action.kind != LC_AGENT_REFUSE)
+        continue;
+      kinds[action.refuse.ask.id.lo] = action.kind;
+      reasons[action.refuse.ask.id.lo] = action.refuse.reason;
+    }
+  ck_assert_int_eq (kinds[0], LC_AGENT_START);
+  for (int i = 1; i <= 2; i++)
+    {
+      ck_assert_int_eq (kinds[i], LC_AGENT_REFUSE);
+      ck_assert_int_eq (reasons[i], LC_REFUSE_DRAINING); /* "not run": it goes elsewhere */
+    }
+  ck_assert_int_eq (kinds[3], 0); /* waits for the slot */
+  lc_request_agent_finish (&agent);
+}
+END_TEST
+
 /* A request waits for a link that is being made rather than queue behind a run, and not for long.
  */
 START_TEST (test_links_being_made_are_waited_for)
@@ -622,6 +699,8 @@
   tcase_add_test (tcase, test_admission_starts_the_earliest_deadline);
   tcase_add_test (tcase, test_admission_limit_falls_and_grows);
   tcase_add_test (tcase, test_pick_prefers_near_and_free_and_keeps_a_floor);
+  tcase_add_test (tcase, test_pick_passes_what_is_evacuated_over);
+  tcase_add_test (tcase, test_evacuated_agent_refuses_what_does_not_run);
   tcase_add_test (tcase, test_links_being_made_are_waited_for);
   tcase_add_test (tcase, test_budget_hedge_and_deadline);
   tcase_add_test (tcase, test_filters);
