Cold backend servers: the rate that a service states is kept beside the server, in any second

Cause: nothing read what a service says that a cold endpoint bears; it was kept by luck, as 45 endpoints share the load.

Built: lc-cold-limit, a window that slides (times of the last grants), at the one place that all requests pass: first packets in the agent's admission, requests on open flows in the gate. An agent that has just started knows nothing of the second before and grants half of what overshoot and slack leave, so two starts within a second stay below the bound. Peers hear at once that the rate is spent.

--- a/proto/lc-control.pb-c.c
+++ b/proto/lc-control.pb-c.c
@@ -2359,7 +2359,7 @@
   (ProtobufCMessageInit) lc__wire__declared_dc__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__declared_service__field_descriptors[10] =
+static const ProtobufCFieldDescriptor lc__wire__declared_service__field_descriptors[11] =
 {
   {
     "name",
@@ -2481,10 +2481,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_rate_mrps",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__DeclaredService, cold_rate_mrps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__declared_service__field_indices_by_name[] = {
   7,   /* field[7] = addresses */
   3,   /* field[3] = caller_limit */
+  10,   /* field[10] = cold_rate_mrps */
   1,   /* field[1] = fields */
   0,   /* field[0] = name */
   6,   /* field[6] = objective_latency_ms */
@@ -2497,7 +2510,7 @@
 static const ProtobufCIntRange lc__wire__declared_service__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor lc__wire__declared_service__descriptor =
 {
@@ -2507,7 +2520,7 @@
   "Lc__Wire__DeclaredService",
   "lc.wire",
   sizeof(Lc__Wire__DeclaredService),
-  10,
+  11,
   lc__wire__declared_service__field_descriptors,
   lc__wire__declared_service__field_indices_by_name,
   1,  lc__wire__declared_service__number_ranges,
--- a/proto/lc-control.pb-c.h
+++ b/proto/lc-control.pb-c.h
@@ -302,10 +302,11 @@
   size_t n_routes;
   Lc__Wire__DeclaredRoute **routes;
   protobuf_c_boolean returns_packets;
+  uint32_t cold_rate_mrps;
 };
 #define LC__WIRE__DECLARED_SERVICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__declared_service__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Lc__Wire__Intent
--- a/proto/lc-view.pb-c.c
+++ b/proto/lc-view.pb-c.c
@@ -896,7 +896,7 @@
   (ProtobufCMessageInit) lc__wire__endpoint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__service__field_descriptors[9] =
+static const ProtobufCFieldDescriptor lc__wire__service__field_descriptors[10] =
 {
   {
     "id",
@@ -1006,9 +1006,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_rate_mrps",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__Service, cold_rate_mrps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__service__field_indices_by_name[] = {
   4,   /* field[4] = caller_limit */
+  9,   /* field[9] = cold_rate_mrps */
   0,   /* field[0] = id */
   2,   /* field[2] = membership_revision */
   1,   /* field[1] = name */
@@ -1021,7 +1034,7 @@
 static const ProtobufCIntRange lc__wire__service__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor lc__wire__service__descriptor =
 {
@@ -1031,7 +1044,7 @@
   "Lc__Wire__Service",
   "lc.wire",
   sizeof(Lc__Wire__Service),
-  9,
+  10,
   lc__wire__service__field_descriptors,
   lc__wire__service__field_indices_by_name,
   1,  lc__wire__service__number_ranges,
--- a/src/agent/lc-agent-flow-start.c
+++ b/src/agent/lc-agent-flow-start.c
@@ -43,6 +43,7 @@
   desc.is_returning = lc_packet_format_is_returning (lc_agent_flow__format (plane));
   desc.backend_ipv4 = settings->backend_feed.ipv4;
   desc.backend_port = settings->backend_feed.port;
+  desc.cold = (LcColdLimitDesc){ settings->cold_overshoot_permille, settings->cold_slack };
   desc.assign.ramp_us = (int64_t)settings->ramp_ms * LC_US_PER_MS;
   if (desc.is_returning)
     lc_agent_flow__weigh_work (&desc);
@@ -57,6 +58,9 @@
     LcAgentFlow *plane, const LcCandidate *self, LcServiceId service_id, LcDcId dc, int64_t now_us)
 {
   LcFlowAgentDesc desc = lc_agent_flow__agent_desc (plane);
+  LcColdLimit firsts = plane->agent.firsts;
+  LcColdLimit requests = plane->agent.gate.cold;
+  bool goes_on = plane->has_agent;
 
   if (plane->has_agent)
     lc_flow_agent_finish (&plane->agent); /* another backend server: the flows were its own */
@@ -66,6 +70,13 @@
   desc.service_id = service_id;
   desc.is_fresh = plane->is_fresh;
   lc_flow_agent_init (&plane->agent, &desc, now_us);
+  if (goes_on)
+    {
+      /* What was given in the last second may have been given to this start of it already. */
+      plane->agent.firsts = firsts;
+      plane->agent.gate.cold = requests;
+    }
+  lc_flow_agent_set_cold (&plane->agent, plane->is_cold);
   plane->expired_logged = 0;
   plane->has_agent = true;
   lc_flow_agent_set_dc (&plane->agent, dc);
@@ -130,6 +141,17 @@
   lc_flow_agent_set_view (&plane->agent, lc_member_view (plane->desc.member), now_us);
 }
 
+void
+lc_agent_flow_set_cold (LcAgentFlow *plane, bool is_cold)
+{
+  if (plane->is_cold == is_cold)
+    return;
+  plane->is_cold = is_cold;
+  LC_INFO ("flow.cold", "is_cold", LC_U64 (is_cold));
+  if (plane->has_agent)
+    lc_flow_agent_set_cold (&plane->agent, is_cold);
+}
+
 void
 lc_agent_flow_set_backend (LcAgentFlow *plane, LcFlowBackend backend)
 {
--- a/src/agent/lc-agent-flow.h
+++ b/src/agent/lc-agent-flow.h
@@ -58,6 +58,7 @@
   LcFlowBackend backend;
   bool is_leaving;    /* the backend server takes nothing new */
   bool is_fresh;      /* it began under this process, which knows all its flows */
+  bool is_cold;       /* its service's rate for cold ones holds */
   bool is_evacuated;  /* as the view last said of its data centre */
   LcInstance started; /* the start that it reported */
   bool has_given_up;  /* nobody is left to take over: waiting longer would save nothing */
@@ -86,6 +87,8 @@
  * the flows and requests before it, of its failures, or of its leaving.  `sequence`: of the report
  * that told it; after its first report nothing but this process can have given it flows. */
 void lc_agent_flow_backend_started (LcAgentFlow *plane, LcInstance instance, uint64_t sequence);
+/* Whether the backend server is cold still, or may be. */
+void lc_agent_flow_set_cold (LcAgentFlow *plane, bool is_cold);
 /* What the backend server has reported of itself. */
 void lc_agent_flow_set_backend (LcAgentFlow *plane, LcFlowBackend backend);
 /* The newest view revision with whose homes every owned flow is registered; 0: none yet. */
--- a/src/agent/lc-agent-settings.h
+++ b/src/agent/lc-agent-settings.h
@@ -41,7 +41,9 @@
   uint32_t connection_limit;
   uint32_t weight_percent;
   uint32_t ramp_ms;
-  uint32_t late_answer_ms; /* an answer that takes longer gets a log line */
+  uint32_t cold_overshoot_permille; /* of the rate that a cold backend server bears */
+  uint32_t cold_slack;              /* requests besides */
+  uint32_t late_answer_ms;          /* an answer that takes longer gets a log line */
   uint32_t udp_idle_ms;
   uint32_t tcp_idle_ms;
   uint32_t drain_limit_ms;
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -90,8 +90,12 @@
 static void
 lc_agent__note_backend (LcAgentProgram *p)
 {
-  if (lc_agent__is_reported (p))
-    lc_agent_flow_set_backend (&p->flow, lc_agent__backend (p, lc_clock_now_us ()));
+  int64_t now_us = lc_clock_now_us ();
+
+  if (!lc_agent__is_reported (p))
+    return;
+  lc_agent_flow_set_cold (&p->flow, lc_backend_status_is_cold (&p->report.status, now_us));
+  lc_agent_flow_set_backend (&p->flow, lc_agent__backend (p, now_us));
 }
 
 static void
--- a/src/control/lc-control-codec.c
+++ b/src/control/lc-control-codec.c
@@ -18,6 +18,7 @@
   m->retry_percent = s->retry_percent;
   m->objective_ppm = s->objective_ppm;
   m->objective_latency_ms = s->objective_latency_ms;
+  m->cold_rate_mrps = s->cold_rate_mrps;
   m->returns_packets = s->returns_packets;
   m->n_addresses = s->n_addresses;
   m->addresses = lc_codec__list (arena, s->n_addresses);
@@ -90,6 +91,7 @@
   s->retry_percent = m->retry_percent;
   s->objective_ppm = m->objective_ppm;
   s->objective_latency_ms = m->objective_latency_ms;
+  s->cold_rate_mrps = m->cold_rate_mrps;
   s->returns_packets = m->returns_packets;
   s->n_addresses = (uint32_t)m->n_addresses;
   s->addresses = g_new0 (LcDeclaredAddress, m->n_addresses);
--- a/src/control/lc-control-json-write.c
+++ b/src/control/lc-control-json-write.c
@@ -94,6 +94,8 @@
       (void)json_object_set_new (one, "objective_ppm", json_integer (s->objective_ppm));
       (void)json_object_set_new (one, "objective_latency_ms",
                                  json_integer (s->objective_latency_ms));
+      (void)json_object_set_new (one, "cold_requests_per_s",
+                                 json_real ((double)s->cold_rate_mrps / LC_INTENT_MILLI));
       (void)json_object_set_new (one, "taking",
                                  json_integer (lc_evacuation_left (&state->view, s, 0)));
       for (int state_at = LC_ENDPOINT_JOINING; state_at <= LC_ENDPOINT_LOST; state_at++)
--- a/src/control/lc-control-json.c
+++ b/src/control/lc-control-json.c
@@ -169,11 +169,26 @@
   return r;
 }
 
+static int
+lc_json__cold_rate (const json_t *limits, const char *path, LcDeclaredService *s, LcError *error)
+{
+  const json_t *rate = json_object_get (limits, "cold_requests_per_s");
+  char where[LC_PATH_MAX];
+
+  if (rate == NULL)
+    return 0;
+  (void)g_snprintf (where, sizeof where, "%s.cold_requests_per_s", path);
+  if (!lc_intent_cold_rate (json_number_value (rate), &s->cold_rate_mrps) || !json_is_number (rate))
+    return lc_json__wrong (where, "a number from 0 to 1000000", error);
+  s->fields |= LC_DECLARED_COLD_RATE;
+  return 0;
+}
+
 static int
 lc_json__limits (const json_t *object, const char *path, LcDeclaredService *s, LcError *error)
 {
   static const char *const KNOWN[] = { "request_timeout_ms", "caller_limit", "retry_percent",
-                                       NULL };
+                                       "cold_requests_per_s", NULL };
   const json_t *limits = json_object_get (object, "limits");
   bool is_there = false;
   int r;
@@ -190,6 +205,8 @@
   if (r == 0)
     r = lc_json__u32 (limits, "retry_percent", path, &s->retry_percent, &is_there, error);
   s->fields |= r == 0 && is_there ? LC_DECLARED_RETRY_PERCENT : 0U;
+  if (r == 0)
+    r = lc_json__cold_rate (limits, path, s, error);
   return r;
 }
 
--- a/src/core/control/lc-control-declare.c
+++ b/src/core/control/lc-control-declare.c
@@ -74,6 +74,9 @@
   if (is_whole || (w->fields & LC_DECLARED_OBJECTIVE_LATENCY))
     has_changed |= lc_plan__set_number (work, w, "latency_ms", &s->objective_latency_ms,
                                         w->objective_latency_ms);
+  if (is_whole || (w->fields & LC_DECLARED_COLD_RATE))
+    has_changed |= lc_plan__set_number (work, w, "thousandths of cold_requests_per_s",
+                                        &s->cold_rate_mrps, w->cold_rate_mrps);
   if ((is_whole || (w->fields & LC_DECLARED_RETURNS_PACKETS)) &&
       s->returns_packets != w->returns_packets)
     {
--- a/src/core/control/lc-control-evacuate.c
+++ b/src/core/control/lc-control-evacuate.c
@@ -1,6 +1,7 @@
 #include "lc-control-private.h"
 
-/* The first service, by id, that would be left with no endpoint although it has some now; NULL: none. */
+/* The first service, by id, that would be left with no endpoint although it has some now; NULL:
+ * none. */
 static const LcService *
 lc_control__find_emptied (const LcControlState *state, LcDcId dc)
 {
--- a/src/core/control/lc-control-numbered.c
+++ b/src/core/control/lc-control-numbered.c
@@ -12,7 +12,7 @@
 
   if (known != NULL && known->request_timeout_ms == w->request_timeout_ms &&
       known->objective_latency_ms == w->objective_latency_ms &&
-      known->returns_packets == w->returns_packets)
+      known->cold_rate_mrps == w->cold_rate_mrps && known->returns_packets == w->returns_packets)
     return known->id;
   if (known != NULL)
     {
@@ -30,6 +30,7 @@
     }
   op.service.request_timeout_ms = w->request_timeout_ms;
   op.service.objective_latency_ms = w->objective_latency_ms;
+  op.service.cold_rate_mrps = w->cold_rate_mrps;
   op.service.returns_packets = w->returns_packets;
   lc_control__emit (state, revision, &op);
   return op.service.id;
--- a/src/core/control/lc-intent.c
+++ b/src/core/control/lc-intent.c
@@ -106,6 +106,18 @@
                        "service %s: %s is %u, over %u", service, field, value, max);
 }
 
+/* A rate that is stated, however small, is not taken for none. */
+bool
+lc_intent_cold_rate (double requests_per_s, uint32_t *rate_mrps)
+{
+  double mrps = requests_per_s * LC_INTENT_MILLI;
+
+  if (!(mrps >= 0 && mrps <= LC_INTENT_COLD_RATE_MRPS_MAX))
+    return false;
+  *rate_mrps = mrps > 0 && mrps < 1 ? 1 : (uint32_t)mrps;
+  return true;
+}
+
 static int
 lc_intent__check_routes (const LcDeclaredService *s, LcError *error)
 {
@@ -164,6 +176,9 @@
   if (r == 0)
     r = lc_intent__check_range (s->name, "latency_ms", s->objective_latency_ms,
                                 LC_INTENT_TIMEOUT_MS_MAX, error);
+  if (r == 0)
+    r = lc_intent__check_range (s->name, "cold_requests_per_s", s->cold_rate_mrps,
+                                LC_INTENT_COLD_RATE_MRPS_MAX, error);
   if (r == 0)
     r = lc_intent__check_routes (s, error);
   /* A request runs at most once by claims, which follow the former sets of members. */
--- a/src/core/control/lc-intent.h
+++ b/src/core/control/lc-intent.h
@@ -30,6 +30,8 @@
   {
     LC_DECLARATION_MAX = 8192,
     LC_INTENT_TIMEOUT_MS_MAX = 3600000, /* of timeouts and latency objectives: an hour */
+    LC_INTENT_MILLI = 1000,
+    LC_INTENT_COLD_RATE_MRPS_MAX = 1000000 * LC_INTENT_MILLI,
   };
 
   typedef enum
@@ -55,6 +57,7 @@
     LC_DECLARED_OBJECTIVE_PPM = 1 << 5,
     LC_DECLARED_OBJECTIVE_LATENCY = 1 << 6,
     LC_DECLARED_RETURNS_PACKETS = 1 << 7,
+    LC_DECLARED_COLD_RATE = 1 << 8,
   };
 
   typedef struct
@@ -85,6 +88,7 @@
     uint32_t retry_percent;
     uint32_t objective_ppm;
     uint32_t objective_latency_ms;
+    uint32_t cold_rate_mrps;
     bool returns_packets;
     LcDeclaredAddress *addresses;
     uint32_t n_addresses;
@@ -124,6 +128,8 @@
   void lc_intent_drop_declaration (LcIntent *intent);
   /* Checks what can be checked without any state: names, ranges, doubles. */
   int lc_intent_check (const LcIntent *intent, LcError *error);
+  /* The rate that a cold endpoint bears, from requests a second; false: out of range. */
+  bool lc_intent_cold_rate (double requests_per_s, uint32_t *rate_mrps);
   /* "open-market" and so on; the kind of a word, or 0. */
   const char *lc_intent_kind_name (LcIntentKind kind);
   LcIntentKind lc_intent_kind_parse (const char *word);
--- a/src/core/flow/lc-flow-agent-packet.c
+++ b/src/core/flow/lc-flow-agent-packet.c
@@ -55,6 +55,12 @@
   return a->desc.is_returning || !a->is_cut_off;
 }
 
+bool
+lc_flow_agent__may_take (const LcFlowAgent *a, int64_t now_us)
+{
+  return lc_flow_agent__is_accepting (a) && lc_cold_limit_has_room (&a->firsts, now_us);
+}
+
 /* === private: whether its backend server works ============================================== */
 
 /* A backend server that fails at once looks idle, and would be given all new flows.  It is left out
@@ -95,7 +101,7 @@
   self->open_flows = lc_flow_agent_open_flows (a);
   self->at_work = lc_flow_gate_load (&a->gate, now_us);
   self->byte_rate = a->byte_rate;
-  self->is_accepting = lc_flow_agent__is_accepting (a);
+  self->is_accepting = lc_flow_agent__may_take (a, now_us);
   self->looks_bad = lc_flow_agent__looks_bad (a, now_us);
   self->is_warm = a->is_warm;
 }
@@ -192,6 +198,8 @@
     f = lc_flow_table_add (&a->table, &packet->key, lc_flow_key_hash (&packet->key));
   if (f == NULL)
     return lc_flow_agent__drop (a, LC_DROP_NO_MEMORY);
+  if (packet->may_open)
+    lc_cold_limit_note (&a->firsts, now_us);
   lc_flow_agent__end_request (a, f);
   lc_flow_table_set_kind (&a->table, f, LC_FLOW_OWNED);
   f->flags = 0;
--- a/src/core/flow/lc-flow-agent-private.h
+++ b/src/core/flow/lc-flow-agent-private.h
@@ -23,6 +23,9 @@
   LcSteerKnown lc_flow_agent__known (const LcFlowAgent *agent, const LcFlow *flow);
   bool lc_flow_agent__is_evacuated (const LcFlowAgent *agent);
   bool lc_flow_agent__is_accepting (const LcFlowAgent *agent);
+  /* Whether one more new flow may be given to the backend server now: it accepts, and if it is
+   * cold its rate is not spent. */
+  bool lc_flow_agent__may_take (const LcFlowAgent *agent, int64_t now_us);
   LcFlowAction lc_flow_agent__drop (LcFlowAgent *agent, LcDropReason reason);
   LcFlowAction lc_flow_agent__send (LcFlowAgent *agent,
                                     LcEnvelope *envelope,
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -79,7 +79,8 @@
   uint32_t moved = open > a->told_flows ? open - a->told_flows : a->told_flows - open;
 
   return (uint64_t)moved * 1000 > (uint64_t)a->told_flows * LC_FLOW_TELL_PERMILLE ||
-         a->told_bad != lc_flow_agent__looks_bad (a, now_us);
+         a->told_bad != lc_flow_agent__looks_bad (a, now_us) ||
+         a->told_spent == lc_cold_limit_has_room (&a->firsts, now_us);
 }
 
 /* Tells the peers this agent's count; of a large service, a part each time in turn. */
@@ -95,6 +96,7 @@
   a->told_flows = lc_flow_agent__weight (a, now_us);
   a->told_us = now_us;
   a->told_bad = lc_flow_agent__looks_bad (a, now_us);
+  a->told_spent = !lc_cold_limit_has_room (&a->firsts, now_us);
   a->next_load_us = now_us + a->desc.load_interval_us;
   for (uint32_t k = 0; k < n && told < a->desc.load_fanout; k++)
     {
@@ -128,6 +130,8 @@
   int64_t objective_ms = service != NULL ? service->objective_latency_ms : 0;
 
   lc_flow_gate_set_server (&a->gate, slots, objective_ms * LC_US_PER_MS);
+  lc_cold_limit_set_rate (&a->gate.cold, service != NULL ? service->cold_rate_mrps : 0);
+  lc_cold_limit_set_rate (&a->firsts, service != NULL ? service->cold_rate_mrps : 0);
 }
 
 /* === public: lifetime and view ============================================================== */
@@ -159,6 +163,12 @@
   a->found = g_array_new (FALSE, FALSE, sizeof (LcFlowFound));
   a->held = g_array_new (FALSE, FALSE, sizeof (LcFlowHeld));
   lc_flow_gate_init (&a->gate, &d->gate);
+  lc_cold_limit_init (&a->gate.cold, &d->cold, now_us);
+  lc_cold_limit_init (&a->firsts, &d->cold, now_us);
+  if (!d->is_fresh)
+    return;
+  lc_cold_limit_know_all (&a->gate.cold);
+  lc_cold_limit_know_all (&a->firsts);
 }
 
 void
@@ -299,7 +309,7 @@
   out->load.at_work = lc_flow_gate_load (&a->gate, now_us);
   out->load.byte_rate = a->byte_rate;
   out->load.is_accepting =
-      lc_flow_agent__is_accepting (a) && out->load.open_flows < a->desc.connection_limit;
+      lc_flow_agent__may_take (a, now_us) && out->load.open_flows < a->desc.connection_limit;
   out->load.looks_bad = lc_flow_agent__looks_bad (a, now_us);
   out->load.is_warm = a->is_warm;
   out->load.knowledge = lc_flow_finder_knowledge (a, now_us);
@@ -322,6 +332,13 @@
   a->has_refused = a->has_refused && backend == LC_FLOW_BACKEND_ASKED;
 }
 
+void
+lc_flow_agent_set_cold (LcFlowAgent *a, bool is_cold)
+{
+  lc_cold_limit_set_cold (&a->gate.cold, is_cold);
+  lc_cold_limit_set_cold (&a->firsts, is_cold);
+}
+
 void
 lc_flow_agent_set_dc (LcFlowAgent *a, LcDcId dc)
 {
--- a/src/core/flow/lc-flow-agent.h
+++ b/src/core/flow/lc-flow-agent.h
@@ -72,6 +72,7 @@
     bool is_fresh;     /* the backend server began under this agent: it holds nothing yet */
     bool has_gate;     /* and requests wait beside it when it has no free slot: lc-flow-gate.h */
     LcFlowGateDesc gate;
+    LcColdLimitDesc cold;
     LcAssignDesc assign;
   } LcFlowAgentDesc;
 
@@ -187,6 +188,7 @@
     uint32_t n_behind;
     uint32_t n_adopted; /* owned, of another's backend server */
     LcFlowGate gate;    /* requests that the backend server works on, and those that wait */
+    LcColdLimit firsts; /* first packets given to it */
     LcFlowReturners returners;
     GArray *held;      /* LcFlowHeld: what is to be done with packets that were held */
     uint32_t n_ended;  /* owned and not adopted, waiting for stragglers after the last packet */
@@ -200,6 +202,7 @@
     bool looks_bad;
     LcOutlier outlier; /* returning formats: requests that the backend server resets, in a row */
     bool told_bad;     /* as the peers were told last */
+    bool told_spent;   /* that a cold backend server's rate is */
     bool is_warm;      /* flows of its backend server were handed back to it */
     uint32_t n_ticks;
     uint32_t next_try; /* place of the search that is looked at next for whom to try */
@@ -236,6 +239,8 @@
   /* Whether upstream was last heard so long ago that this endpoint may count as lost. */
   void lc_flow_agent_set_cut_off (LcFlowAgent *agent, bool is_cut_off);
   void lc_flow_agent_set_backend (LcFlowAgent *agent, LcFlowBackend backend);
+  /* Whether the backend server is cold still, or may be, for all that is known. */
+  void lc_flow_agent_set_cold (LcFlowAgent *agent, bool is_cold);
   void lc_flow_agent_set_dc (LcFlowAgent *agent, LcDcId dc);
   /* The same backend server goes on under this name: its flows are registered anew. */
   void lc_flow_agent_rename (LcFlowAgent *agent, const LcCandidate *self);
--- a/src/core/flow/lc-flow-gate.c
+++ b/src/core/flow/lc-flow-gate.c
@@ -119,6 +119,8 @@
   bool is_late = lc_flow_gate__is_late (gate, lc_flow_gate__at (gate->waiting, place), now_us);
   uint32_t n_most = gate->slots + (is_late ? 0 : gate->desc.ahead);
 
+  if (!lc_cold_limit_has_room (&gate->cold, now_us))
+    return false;
   if (gate->slots == 0 || gate->working->len < n_most)
     return true;
   if (now_us - gate->moved_us < gate->desc.probe_us)
@@ -131,6 +133,7 @@
 lc_flow_gate__pass (LcFlowGate *gate, uint32_t flow, int64_t now_us)
 {
   lc_flow_gate__put (gate->working, flow, now_us);
+  lc_cold_limit_note (&gate->cold, now_us);
   gate->moved_us = now_us;
 }
 
@@ -175,7 +178,7 @@
     return LC_FLOW_GATE_PASS;
   if (lc_flow_gate__find (gate->waiting, flow) < gate->waiting->len)
     return LC_FLOW_GATE_WAIT;
-  if (gate->waiting->len >= gate->desc.max_waiting)
+  if (gate->waiting->len >= gate->desc.max_waiting && lc_cold_limit_has_room (&gate->cold, now_us))
     {
       gate->overflows_total++;
       lc_flow_gate__pass (gate, flow, now_us);
--- a/src/core/flow/lc-flow-gate.h
+++ b/src/core/flow/lc-flow-gate.h
@@ -25,6 +25,8 @@
  *   - At most `max_waiting` wait; what comes beyond passes, and the server's own refusal, which is
  *     certain, answers it.
  *   - What has waited for `give_up_us` is given up: its caller is gone.
+ *   - A cold backend server gets no more than its rate (lc-cold-limit.h): neither a probe nor too
+ *     many that wait let one pass beyond it.
  *
  * HOW TO USE IT
  *     lc_flow_gate_init (&gate, &desc);
@@ -45,7 +47,7 @@
 #ifndef LC_FLOW_GATE_H
 #define LC_FLOW_GATE_H
 
-#include "core/lc-types.h"
+#include "lc-cold-limit.h"
 
 #include <glib.h>
 
@@ -91,6 +93,7 @@
     GArray *working;  /* LcFlowGateRequest, the oldest first */
     GArray *waiting;  /* LcFlowGateRequest */
     int64_t moved_us; /* when a request last passed */
+    LcColdLimit cold;
     uint64_t waited_total;
     uint64_t given_up_total;
     uint64_t doubted_total;
--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -100,6 +100,8 @@
   if (!lc_flow_agent__is_accepting (a))
     return lc_flow_agent__refuse (
         a, e, lc_flow_agent__is_evacuated (a) ? LC_DROP_EVACUATED : LC_DROP_LEAVING);
+  if (!lc_flow_agent__may_take (a, now_us))
+    return lc_flow_agent__refuse (a, e, LC_DROP_LIMIT);
   if (lc_flow_agent__looks_bad (a, now_us) && lc_assign_may_leave_out_self (&a->assign, now_us))
     return lc_flow_agent__refuse (a, e, LC_DROP_LIMIT);
   return lc_flow_return__marked (a, lc_flow_agent__take (a, f, packet, now_us), e, packet, now_us);
@@ -187,13 +189,22 @@
          (f->flags & LC_FLOW_ANSWERED) == 0;
 }
 
-/* A first packet on a flow that has ended here opens a new one, which a leaving agent refuses. */
+/* A first packet on a flow that has ended here opens a new one, as any other. */
+static bool
+lc_flow_return__opens_again (const LcFlow *f, const LcPacket *packet)
+{
+  return packet->may_open && (f->flags & LC_FLOW_ENDED) != 0;
+}
+
 static bool
-lc_flow_return__is_owned (const LcFlowAgent *a, const LcFlow *f, const LcPacket *packet)
+lc_flow_return__is_owned (const LcFlowAgent *a,
+                          const LcFlow *f,
+                          const LcPacket *packet,
+                          int64_t now_us)
 {
   if (f == NULL || f->kind != LC_FLOW_OWNED)
     return false;
-  return !packet->may_open || (f->flags & LC_FLOW_ENDED) == 0 || lc_flow_agent__is_accepting (a);
+  return !lc_flow_return__opens_again (f, packet) || lc_flow_agent__may_take (a, now_us);
 }
 
 static void
@@ -277,8 +288,10 @@
       lc_flow_agent__note_failure (a, now_us);
       return lc_flow_return__give_on (a, e, packet, now_us);
     }
-  if (lc_flow_return__is_owned (a, f, packet))
+  if (lc_flow_return__is_owned (a, f, packet, now_us))
     {
+      if (lc_flow_return__opens_again (f, packet))
+        lc_cold_limit_note (&a->firsts, now_us);
       lc_flow_return__remind_homes (a, f, e);
       if (lc_flow_return__must_wait (a, f, packet, now_us))
         return (LcFlowAction){ .kind = LC_FLOW_ACTION_HOLD,
--- a/src/core/lc-view.c
+++ b/src/core/lc-view.c
@@ -312,6 +312,7 @@
   s->retry_percent = service->retry_percent;
   s->objective_ppm = service->objective_ppm;
   s->objective_latency_ms = service->objective_latency_ms;
+  s->cold_rate_mrps = service->cold_rate_mrps;
   s->returns_packets = service->returns_packets;
   if (s->returns_packets)
     {
--- a/src/core/lc-view.h
+++ b/src/core/lc-view.h
@@ -106,7 +106,9 @@
     uint32_t retry_percent;         /* retry budget as a share of requests; 0: 10 */
     uint32_t objective_ppm;         /* share of good requests and flows; 0: 999 000 */
     uint32_t objective_latency_ms;  /* bound of a good request; 0: 500 */
-    bool returns_packets; /* its backend servers return what they do not hold: no former sets */
+    uint32_t cold_rate_mrps; /* thousandths of a request a second that a cold endpoint bears; 0: as
+                                many as it has slots for */
+    bool returns_packets;    /* its backend servers return what they do not hold: no former sets */
 
     LcEndpoint *endpoints; /* owned; every state, ordered by id */
     uint32_t n_endpoints;
--- a/src/core/member/lc-backend-status.c
+++ b/src/core/member/lc-backend-status.c
@@ -161,6 +161,12 @@
   return s->newest.state == LC_BACKEND_UNKNOWN && is_candidate && now_us - s->started_us <= ask_us;
 }
 
+bool
+lc_backend_status_is_cold (const LcBackendStatus *s, int64_t now_us)
+{
+  return s->newest.state == LC_BACKEND_UNKNOWN || now_us < s->warm_at_us;
+}
+
 LcInstance
 lc_backend_status_instance (const LcBackendStatus *s)
 {
--- a/src/core/member/lc-backend-status.h
+++ b/src/core/member/lc-backend-status.h
@@ -101,6 +101,8 @@
    * it reports itself within an interval.  `is_candidate`: the view names it, and not as leaving.
    */
   bool lc_backend_status_may_ask (const LcBackendStatus *status, bool is_candidate, int64_t now_us);
+  /* Whether it is cold still; one of which nothing was reported may be. */
+  bool lc_backend_status_is_cold (const LcBackendStatus *status, int64_t now_us);
   /* Names this start of the backend server, by its id and time; 0: none was reported. */
   LcInstance lc_backend_status_instance (const LcBackendStatus *status);
 
--- a/src/io/lc-settings.c
+++ b/src/io/lc-settings.c
@@ -68,6 +68,7 @@
       *(uint16_t *)at = (uint16_t)value;
       break;
     case LC_SETTING_U32:
+    case LC_SETTING_PERMILLE:
     case LC_SETTING_CHOICE:
       *(uint32_t *)at = (uint32_t)value;
       break;
@@ -90,6 +91,21 @@
   return 0;
 }
 
+static int
+lc_settings__put_permille (const LcSettingsLoad *load,
+                           const LcSettingsField *f,
+                           const json_t *value)
+{
+  double permille = json_number_value (value) * 1000;
+
+  if (!json_is_number (value) || !(permille >= (double)f->min && permille <= (double)f->max))
+    return lc_error_set (load->error, LC_ERR_INVALID, "give a number within its range",
+                         "%s: $.%s is no number from %g to %g", load->origin, f->path,
+                         (double)f->min / 1000, (double)f->max / 1000);
+  lc_settings__store_number (f, load->out + f->offset, (uint64_t)(permille + 0.5));
+  return 0;
+}
+
 /* The port of an address: the platform that writes the file may know no other form of it. */
 static int
 lc_settings__put_port (const LcSettingsLoad *load, const LcSettingsField *f, const char *text)
@@ -193,6 +209,8 @@
     case LC_SETTING_U32:
     case LC_SETTING_U64:
       return lc_settings__put_number (load, f, value);
+    case LC_SETTING_PERMILLE:
+      return lc_settings__put_permille (load, f, value);
     case LC_SETTING_IPV4:
       if (text == NULL || lc_settings_parse_ipv4 (text, at) < 0)
         return lc_settings__wrong_type (load, f->path, "an IPv4 address such as \"127.0.0.1\"");
@@ -228,6 +246,7 @@
     case LC_SETTING_PORT:
     case LC_SETTING_U32:
     case LC_SETTING_U64:
+    case LC_SETTING_PERMILLE:
     case LC_SETTING_CHOICE:
       lc_settings__store_number (f, load->out + f->offset, f->default_u64);
       break;
@@ -394,6 +413,8 @@
       return "whole number";
     case LC_SETTING_PORT:
       return "port, or address:port";
+    case LC_SETTING_PERMILLE:
+      return "number";
     case LC_SETTING_IPV4:
       return "IPv4 address";
     case LC_SETTING_ADDRESS:
@@ -417,6 +438,9 @@
     case LC_SETTING_U64:
       (void)fprintf (out, "%" PRIu64 " to %" PRIu64, f->min, lc_settings__max (f));
       break;
+    case LC_SETTING_PERMILLE:
+      (void)fprintf (out, "%g to %g", (double)f->min / 1000, (double)f->max / 1000);
+      break;
     case LC_SETTING_STRING:
       (void)fprintf (out, "up to %zu bytes", f->size - 1);
       break;
@@ -441,6 +465,8 @@
     (void)fputs (f->default_u64 != 0 ? "true" : "false", out);
   else if (f->kind == LC_SETTING_CHOICE)
     (void)fputs (f->choices[f->default_u64], out);
+  else if (f->kind == LC_SETTING_PERMILLE)
+    (void)fprintf (out, "%g", (double)f->default_u64 / 1000);
   else if (f->kind == LC_SETTING_U16 || f->kind == LC_SETTING_PORT || f->kind == LC_SETTING_U32 ||
            f->kind == LC_SETTING_U64)
     (void)fprintf (out, "%" PRIu64, f->default_u64);
--- a/src/io/lc-settings.h
+++ b/src/io/lc-settings.h
@@ -47,6 +47,7 @@
   LC_SETTING_IPV4,         /* uint32_t from "a.b.c.d" */
   LC_SETTING_ADDRESS,      /* LcSocketAddress from "a.b.c.d:port" */
   LC_SETTING_ADDRESS_LIST, /* LcSocketAddress[] */
+  LC_SETTING_PERMILLE,     /* uint32_t, thousandths of a number such as 1.5 */
   LC_SETTING_CHOICE,       /* uint32_t index into `choices` */
 } LcSettingKind;
 
--- a/src/io/lc-wire-view.c
+++ b/src/io/lc-wire-view.c
@@ -66,6 +66,7 @@
   w->service.retry_percent = s->retry_percent;
   w->service.objective_ppm = s->objective_ppm;
   w->service.objective_latency_ms = s->objective_latency_ms;
+  w->service.cold_rate_mrps = s->cold_rate_mrps;
   w->service.returns_packets = s->returns_packets;
   w->op.service = &w->service;
   w->op.body_case = LC__WIRE__VIEW_OP__BODY_SERVICE;
@@ -283,6 +284,7 @@
   s->retry_percent = message->retry_percent;
   s->objective_ppm = message->objective_ppm;
   s->objective_latency_ms = message->objective_latency_ms;
+  s->cold_rate_mrps = message->cold_rate_mrps;
   s->returns_packets = message->returns_packets;
   return lc_wire_view__copy (s->name, sizeof s->name, message->name, error);
 }
--- a/tests/adapter/test-declaration.c
+++ b/tests/adapter/test-declaration.c
@@ -148,6 +148,46 @@
 }
 END_TEST
 
+/* What a cold backend server bears; a rate that is stated never becomes none. */
+START_TEST (test_cold_rates)
+{
+  static const struct
+  {
+    const char *field; /* of the service */
+    int code;
+    uint32_t rate_mrps;
+  } RATES[] = {
+    { "", 0, 0 },
+    { ",\"warmupS\":2.0,\"warmupPerS\":0.0", 0, 0 },
+    { ",\"warmupPerS\":12.5", 0, 12500 },
+    { ",\"warmupPerS\":40", 0, 40000 },
+    { ",\"warmupPerS\":0.0001", 0, 1 },
+    { ",\"warmupPerS\":-1", LC_ERR_INVALID, 0 },
+    { ",\"warmupPerS\":1e99", LC_ERR_INVALID, 0 },
+    { ",\"warmupPerS\":\"12\"", LC_ERR_INVALID, 0 },
+    { ",\"warmupPerS\":null", LC_ERR_INVALID, 0 },
+  };
+
+  for (size_t i = 0; i < sizeof RATES / sizeof RATES[0]; i++)
+    {
+      char *body = g_strdup_printf (
+          "{\"version\":7,\"routes\":[],\"backends\":[{\"name\":\"a\"%s}]}", RATES[i].field);
+      LcNumberedDeclaration n;
+      LcError error = { 0 };
+
+      ck_assert_msg (lc_platform_declaration_read (&n, body, strlen (body), &error) ==
+                         RATES[i].code,
+                     "%s", body);
+      if (RATES[i].code == 0)
+        ck_assert_uint_eq (n.declaration.services[0].cold_rate_mrps, RATES[i].rate_mrps);
+      else
+        ck_assert_ptr_nonnull (strstr (error.message, "$.backends[0].warmupPerS"));
+      lc_numbered_finish (&n);
+      g_free (body);
+    }
+}
+END_TEST
+
 START_TEST (test_a_megabyte)
 {
   GString *body = g_string_new ("{\"version\":7,\"routes\":[");
@@ -171,6 +211,7 @@
 
   tcase_add_loop_test (tcase, test_read, 0, (int)(sizeof CASES / sizeof CASES[0]));
   tcase_add_test (tcase, test_objectives);
+  tcase_add_test (tcase, test_cold_rates);
   tcase_add_test (tcase, test_a_megabyte);
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
--- a/tests/adapter/test-report.c
+++ b/tests/adapter/test-report.c
@@ -296,6 +296,41 @@
 }
 END_TEST
 
+/* Cold for as long as its newest report says; of one that has said nothing it is not known. */
+START_TEST (test_cold)
+{
+  static const struct
+  {
+    const char *what;
+    bool has_reported;
+    uint32_t cold_ms;
+    int64_t after_us;
+    bool is_cold;
+  } CASES[] = {
+    { "nothing reported", false, 0, 9000000, true },
+    { "warm", true, 0, 0, false },
+    { "cold", true, 2000, 1999999, true },
+    { "no longer cold", true, 2000, 2000000, false },
+  };
+
+  for (size_t i = 0; i < sizeof CASES / sizeof CASES[0]; i++)
+    {
+      LcBackendReport report = {
+        .id = "a", .state = LC_BACKEND_READY, .sequence = 1, .cold_ms = CASES[i].cold_ms
+      };
+      LcBackendStatusDesc desc = { 0 };
+      LcBackendStatus status;
+
+      lc_backend_status_init (&status, &desc, 7000);
+      if (CASES[i].has_reported)
+        (void)lc_backend_status_take (&status, &report, 7000);
+      ck_assert_msg (lc_backend_status_is_cold (&status, 7000 + CASES[i].after_us) ==
+                         CASES[i].is_cold,
+                     "%s", CASES[i].what);
+    }
+}
+END_TEST
+
 /* The agent has started again, and a report of an earlier start of its backend server, held up on
  * its way, comes after that of the present one. */
 START_TEST (test_report_of_an_earlier_start)
@@ -395,6 +430,7 @@
   tcase_add_loop_test (tcase, test_orders, 0, (int)(sizeof ORDERS / sizeof ORDERS[0]));
   tcase_add_test (tcase, test_silence);
   tcase_add_test (tcase, test_nothing_reported_yet);
+  tcase_add_test (tcase, test_cold);
   tcase_add_test (tcase, test_report_of_an_earlier_start);
   tcase_add_test (tcase, test_earlier_start_after_a_restart);
   tcase_add_test (tcase, test_new_id_behind_a_clock_step);
--- a/tests/control/test-evacuation.c
+++ b/tests/control/test-evacuation.c
@@ -121,7 +121,9 @@
   { "begin", { { BEGIN, 0, 0 }, { NOTHING, 0, 0 }, { NOTHING, 0, 0 }, { NOTHING, 0, 0 } }, true },
   { "sent again", { { BEGIN, 0, 0 }, { BEGIN, 0, 0 }, { BEGIN, 1, 0 }, { NOTHING, 0, 0 } }, true },
   { "end", { { BEGIN, 0, 0 }, { END, 1, 0 }, { END, 1, 0 }, { NOTHING, 0, 0 } }, false },
-  { "end of none", { { END, 0, 0 }, { NOTHING, 0, 0 }, { NOTHING, 0, 0 }, { NOTHING, 0, 0 } }, false },
+  { "end of none",
+    { { END, 0, 0 }, { NOTHING, 0, 0 }, { NOTHING, 0, 0 }, { NOTHING, 0, 0 } },
+    false },
   { "begun once more",
     { { BEGIN, 0, 0 }, { END, 1, 0 }, { BEGIN, 2, 0 }, { NOTHING, 0, 0 } },
     true },
@@ -153,10 +155,10 @@
       else if (step == REJOIN)
         announce (&w, LC_MEMBER_ENDPOINT_ANNOUNCED, "desk-9", "hall-atl");
       else if (step != NOTHING)
-        ck_assert_msg (order (&w, "hall-atl", step == BEGIN, changes[ORDERS[_i].steps[i].sees],
-                              true)
-                               ->code == ORDERS[_i].steps[i].code,
-                       "%s: step %d", ORDERS[_i].what, i);
+        ck_assert_msg (
+            order (&w, "hall-atl", step == BEGIN, changes[ORDERS[_i].steps[i].sees], true)->code ==
+                ORDERS[_i].steps[i].code,
+            "%s: step %d", ORDERS[_i].what, i);
       if (dc_of (&w, "hall-atl")->evacuation_revision != before)
         changes[++n_changes] = dc_of (&w, "hall-atl")->evacuation_revision;
     }
@@ -283,7 +285,8 @@
   gsize len;
   const uint8_t *bytes;
 
-  c.evacuation = (LcEvacuation){ .data_centre = "hall-atl", .is_wanted = true, .seen_revision = 41 };
+  c.evacuation =
+      (LcEvacuation){ .data_centre = "hall-atl", .is_wanted = true, .seen_revision = 41 };
   packed = lc_control_command_pack (&c);
   bytes = g_bytes_get_data (packed, &len);
   ck_assert_int_eq (lc_control_command_unpack (&read, bytes, len, NULL), 0);
--- a/tests/flow/prop-evacuation.cc
+++ b/tests/flow/prop-evacuation.cc
@@ -171,8 +171,8 @@
 };
 
 /* An operator gives orders one after the other, each to VMs that lag by up to two changes until one
- * answers that it is in force.  Copies that were not carried out then may be at any later time: they
- * never change what the operator was told last. */
+ * answers that it is in force.  Copies that were not carried out then may be at any later time:
+ * they never change what the operator was told last. */
 void
 give_orders (const std::vector<uint32_t> &draws)
 {
@@ -225,13 +225,15 @@
 int
 main ()
 {
-  bool ok = rc::check ("an evacuated data centre gets no first packet that its agents know to refuse",
-                       [] { run_world (*steps ()); });
-
-  ok = rc::check ("an order that was held up changes nothing after its operator was answered", [] {
-         give_orders (*rc::gen::container<std::vector<uint32_t> > (
-             rc::gen::inRange<uint32_t> (0, 1000)));
-       }) &&
+  bool ok =
+      rc::check ("an evacuated data centre gets no first packet that its agents know to refuse",
+                 [] { run_world (*steps ()); });
+
+  ok = rc::check ("an order that was held up changes nothing after its operator was answered",
+                  [] {
+                    give_orders (*rc::gen::container<std::vector<uint32_t> > (
+                        rc::gen::inRange<uint32_t> (0, 1000)));
+                  }) &&
        ok;
   return ok ? 0 : 1;
 }
--- a/tests/flow/return-world.c
+++ b/tests/flow/return-world.c
@@ -68,6 +68,18 @@
   rw_apply (w, &op);
 }
 
+void
+rw_set_cold_rate (RwWorld *w, uint32_t rate_mrps)
+{
+  LcViewOp op = { .kind = LC_VIEW_SERVICE };
+
+  op.service.id = 1;
+  op.service.returns_packets = true;
+  op.service.cold_rate_mrps = rate_mrps;
+  (void)g_strlcpy (op.service.name, "desk", sizeof op.service.name);
+  rw_apply (w, &op);
+}
+
 static void
 rw_copy_op (void *user, const LcViewOp *op)
 {
--- a/tests/flow/return-world.h
+++ b/tests/flow/return-world.h
@@ -63,6 +63,8 @@
   void rw_place (RwWorld *w, int i, LcDcId dc);
   /* In the newest view only, until it is shown. */
   void rw_evacuate (RwWorld *w, LcDcId dc, bool is_evacuated);
+  /* States what a cold endpoint bears; in the newest view only, until it is shown. */
+  void rw_set_cold_rate (RwWorld *w, uint32_t rate_mrps);
   void rw_show_agent (RwWorld *w, int i);
   void rw_show_balancer (RwWorld *w);
   /* Everybody sees the newest view. */
--- /dev/null
+++ b/tests/flow/test-cold-limit.c
@@ -0,0 +1,159 @@
+/* What a cold backend server is given in any second: tables of times. */
+#include "core/flow/lc-cold-limit.h"
+#include "core/flow/lc-flow-gate.h"
+#include "tests/fakes/lc-fake-run.h"
+
+#include <check.h>
+
+enum
+{
+  MS = LC_US_PER_MS,
+  N_BURSTS = 4,
+};
+
+static const struct
+{
+  const char *what;
+  uint32_t rate_mrps;
+  uint32_t overshoot_permille;
+  uint32_t slack;
+  bool is_known; /* nothing was given before */
+  bool is_cold;
+  struct
+  {
+    int64_t at_ms;
+    uint32_t n_wanted;
+    uint32_t n_granted;
+  } bursts[N_BURSTS];
+} CASES[] = {
+  { "warm", 10000, 0, 0, true, false, { { 0, 50, 50 } } },
+  { "no rate is stated", 0, 0, 0, true, true, { { 0, 50, 50 } } },
+  { "a burst", 10000, 0, 0, true, true, { { 1, 50, 10 } } },
+  { "a burst across two fixed seconds",
+    10000,
+    0,
+    0,
+    true,
+    true,
+    { { 950, 10, 10 }, { 1050, 10, 0 }, { 1999, 10, 0 }, { 2001, 50, 10 } } },
+  { "as some grants grow old",
+    4000,
+    0,
+    0,
+    true,
+    true,
+    { { 1, 2, 2 }, { 501, 4, 2 }, { 1052, 4, 2 }, { 1552, 4, 2 } } },
+  { "less than one a second", 400, 0, 0, true, true, { { 1, 3, 1 }, { 1000, 3, 0 }, { 1100, 3, 1 } } },
+  { "more than is counted", 9000000, 0, 0, true, true, { { 1, 2000, LC_COLD_LIMIT_MOST } } },
+  { "an agent that starts, nothing stated beyond the rate",
+    10000,
+    0,
+    0,
+    false,
+    true,
+    { { 1, 50, 0 }, { 1049, 50, 0 }, { 1050, 50, 10 } } },
+  { "an agent that starts: half of overshoot and slack",
+    20000,
+    1500,
+    6,
+    false,
+    true,
+    { { 1, 50, 8 }, { 1049, 50, 0 }, { 1050, 50, 12 }, { 1100, 50, 8 } } },
+  { "an agent that starts, with much slack",
+    2000,
+    1000,
+    100,
+    false,
+    true,
+    { { 1, 50, 2 }, { 1060, 50, 2 } } },
+};
+
+START_TEST (test_bursts)
+{
+  LcColdLimitDesc desc = { CASES[_i].overshoot_permille, CASES[_i].slack };
+  LcColdLimit limit;
+
+  lc_cold_limit_init (&limit, &desc, 0);
+  if (CASES[_i].is_known)
+    lc_cold_limit_know_all (&limit);
+  lc_cold_limit_set_rate (&limit, CASES[_i].rate_mrps);
+  lc_cold_limit_set_cold (&limit, CASES[_i].is_cold);
+  for (int b = 0; b < N_BURSTS; b++)
+    {
+      uint32_t n = 0;
+
+      for (uint32_t k = 0; k < CASES[_i].bursts[b].n_wanted; k++)
+        if (lc_cold_limit_has_room (&limit, CASES[_i].bursts[b].at_ms * MS))
+          {
+            lc_cold_limit_note (&limit, CASES[_i].bursts[b].at_ms * MS);
+            n++;
+          }
+      ck_assert_msg (n == CASES[_i].bursts[b].n_granted, "%s: burst %d: %u", CASES[_i].what, b, n);
+    }
+}
+END_TEST
+
+/* It was warm and started again: what it was given as a warm one counts. */
+START_TEST (test_grants_before_a_cold_start_count)
+{
+  LcColdLimitDesc desc = { 0 };
+  LcColdLimit limit;
+
+  lc_cold_limit_init (&limit, &desc, 0);
+  lc_cold_limit_know_all (&limit);
+  lc_cold_limit_set_rate (&limit, 5000);
+  for (int k = 0; k < 20; k++)
+    lc_cold_limit_note (&limit, (2000 + k) * MS);
+  lc_cold_limit_set_cold (&limit, true);
+  ck_assert (!lc_cold_limit_has_room (&limit, 2100 * MS));
+  ck_assert (lc_cold_limit_has_room (&limit, 3100 * MS));
+}
+END_TEST
+
+/* Requests on open flows: neither a probe nor too many that wait go beyond the rate, and what waits
+ * goes on as the window slides. */
+START_TEST (test_gate_keeps_the_rate)
+{
+  LcFlowGateDesc desc = { .max_waiting = 4 };
+  LcFlowGate gate;
+  uint32_t n_passed = 0;
+  uint32_t n_later = 0;
+  uint32_t flow;
+
+  lc_flow_gate_init (&gate, &desc);
+  lc_flow_gate_set_server (&gate, 2, 500 * MS);
+  lc_cold_limit_init (&gate.cold, &(LcColdLimitDesc){ 0 }, 0);
+  lc_cold_limit_know_all (&gate.cold);
+  lc_cold_limit_set_rate (&gate.cold, 3000);
+  lc_cold_limit_set_cold (&gate.cold, true);
+  for (uint32_t i = 1; i <= 20; i++)
+    {
+      if (lc_flow_gate_request (&gate, i, MS, MS) != LC_FLOW_GATE_PASS)
+        continue;
+      n_passed++;
+      lc_flow_gate_end (&gate, i);
+    }
+  ck_assert_uint_eq (n_passed, 3);
+  ck_assert (!lc_flow_gate_next (&gate, 900 * MS, &flow));
+  while (lc_flow_gate_next (&gate, 1060 * MS, &flow))
+    {
+      lc_flow_gate_end (&gate, flow);
+      n_later++;
+    }
+  ck_assert_uint_eq (n_later, 3);
+  lc_flow_gate_finish (&gate);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("cold-limit");
+  TCase *tcase = tcase_create ("windows");
+
+  tcase_add_loop_test (tcase, test_bursts, 0, (int)G_N_ELEMENTS (CASES));
+  tcase_add_test (tcase, test_grants_before_a_cold_start_count);
+  tcase_add_test (tcase, test_gate_keeps_the_rate);
+  suite_add_tcase (suite, tcase);
+  return lc_fake_run (suite);
+}
--- a/tests/platform/test-settings.c
+++ b/tests/platform/test-settings.c
@@ -15,6 +15,7 @@
   uint64_t big;
   bool is_on;
   uint32_t colour;
+  uint32_t factor_permille;
   uint32_t ipv4;
   LcSocketAddress to;
   uint32_t n_list;
@@ -45,6 +46,12 @@
   { .path = "big", .kind = LC_SETTING_U64, FIELD (big) },
   { .path = "is_on", .kind = LC_SETTING_BOOL, FIELD (is_on), .default_u64 = 1 },
   { .path = "colour", .kind = LC_SETTING_CHOICE, FIELD (colour), .choices = COLOURS },
+  { .path = "factor",
+    .kind = LC_SETTING_PERMILLE,
+    FIELD (factor_permille),
+    .min = 1000,
+    .max = 3000,
+    .default_u64 = 1000 },
   { .path = "ipv4", .kind = LC_SETTING_IPV4, FIELD (ipv4), .default_str = "127.0.0.1" },
   { .path = "to", .kind = LC_SETTING_ADDRESS, FIELD (to), .default_str = "127.0.0.1:80" },
   { .path = "list",
@@ -75,6 +82,12 @@
   { "{\"name\":\"0123456789012345678901234567890123456789012345678\"}",
     { "f.json", "$.name has 49 bytes", "at most 47" },
     "shorter" },
+  { "{\"name\":\"a\",\"factor\":0.5}",
+    { "f.json", "$.factor is no number from 1 to 3" },
+    "within its range" },
+  { "{\"name\":\"a\",\"factor\":\"2\"}",
+    { "f.json", "$.factor is no number from 1 to 3" },
+    "within its range" },
   { "{\"name\":\"a\",\"prot\":1}", { "f.json", "$.prot is not a setting of test" }, "spelling" },
   { "{\"name\":\"a\",\"wait\":{\"s\":1}}", { "$.wait.s is not a setting" }, "spelling" },
   { "{\"name\":\"a\",\"wait\":7}", { "f.json", "$.wait" }, "" },
@@ -134,6 +147,7 @@
   ck_assert_uint_eq (mine.wait_ms, 20);
   ck_assert (mine.is_on);
   ck_assert_uint_eq (mine.colour, 0);
+  ck_assert_uint_eq (mine.factor_permille, 1000);
   ck_assert_uint_eq (mine.ipv4, 0x7f000001);
   ck_assert_uint_eq (mine.to.port, 80);
   ck_assert_uint_eq (mine.n_list, 0);
@@ -144,7 +158,8 @@
 {
   static const char JSON[] =
       "{\"name\":\"b\",\"port\":65535,\"wait\":{\"ms\":500},\"big\":9223372036854775807,"
-      "\"is_on\":false,\"colour\":\"green\",\"ipv4\":\"10.1.2.3\",\"to\":\"10.0.0.1:9\","
+      "\"is_on\":false,\"colour\":\"green\",\"factor\":1.5,\"ipv4\":\"10.1.2.3\",\"to\":\"10.0.0.1:"
+      "9\","
       "\"list\":[\"1.2.3.4:5\",\"1.2.3.4:6\"]}";
   Mine mine;
 
@@ -154,6 +169,7 @@
   ck_assert (mine.big == INT64_MAX);
   ck_assert (!mine.is_on);
   ck_assert_uint_eq (mine.colour, 1);
+  ck_assert_uint_eq (mine.factor_permille, 1500);
   ck_assert_uint_eq (mine.ipv4, 0x0a010203);
   ck_assert_uint_eq (mine.to.port, 9);
   ck_assert_uint_eq (mine.n_list, 2);
