--- a/fuzz/fuzz-adapter.c
+++ b/fuzz/fuzz-adapter.c
@@ -1,6 +1,7 @@
 /* Any bytes as what the users' platform sends: packets, reports and configurations.  The first byte
  * says which. */
 #include "platform/lc-platform-declaration.h"
+#include "platform/lc-platform-evacuation.h"
 #include "platform/lc-platform-packet.h"
 #include "platform/lc-platform-report.h"
 
@@ -55,9 +56,35 @@
     abort (); /* it would name a backend server that can't be used */
 }
 
+/* The bytes as the name of a place. */
+static void
+lc_fuzz__evacuation (const char *method, const uint8_t *bytes, size_t len)
+{
+  static const char PATH[] = "/evacuations/";
+  char path[HEAD_AND_DATA_MAX];
+  size_t path_len = sizeof PATH - 1 + MIN (len, sizeof path - sizeof PATH);
+  LcPlatformCall call = { method, strlen (method), path, path_len, NULL, 0 };
+  LcEvacuation order;
+  LcError error = { 0 };
+
+  memcpy (path, PATH, sizeof PATH - 1);
+  memcpy (path + sizeof PATH - 1, bytes, path_len - (sizeof PATH - 1));
+  if (!lc_platform_evacuation_is (&call))
+    abort ();
+  if (lc_platform_evacuation_read (&order, &call, &error) < 0)
+    {
+      if (error.remedy[0] == '\0')
+        abort ();
+    }
+  else if (order.data_centre[0] == '\0' || strlen (order.data_centre) != path_len - sizeof PATH + 1)
+    abort (); /* it would empty another place than was named */
+}
+
 static void
 lc_fuzz__report (const uint8_t *bytes, size_t len)
 {
+  lc_fuzz__evacuation ("POST", bytes, len);
+  lc_fuzz__evacuation ("DELETE", bytes, len);
   lc_fuzz__call ("PUT", bytes, len);
   lc_fuzz__call ("DELETE", bytes, len);
 }
--- a/fuzz/fuzz-control.c
+++ b/fuzz/fuzz-control.c
@@ -148,6 +148,8 @@
 
   if (lc_control_json_read_plan (&command, (const char *)bytes, len, NULL) == 0)
     lc_control_command_finish (&command);
+  if (lc_control_json_read_evacuation (&command, (const char *)bytes, len, NULL) == 0)
+    lc_control_command_finish (&command);
   if (lc_control_json_read_confirm (&command, (const char *)bytes, len, NULL) == 0)
     lc_control_command_finish (&command);
 }
--- a/src/core/flow/lc-cold-limit.h
+++ b/src/core/flow/lc-cold-limit.h
@@ -59,8 +59,8 @@
     uint32_t rate_mrps; /* thousandths of a request a second; 0: no limit */
     bool is_cold;
     int64_t started_us;
-    uint32_t n_since_start;              /* grants in the first window */
-    uint32_t next;                       /* place of the next grant's time */
+    uint32_t n_since_start;               /* grants in the first window */
+    uint32_t next;                        /* place of the next grant's time */
     int64_t times_us[LC_COLD_LIMIT_MOST]; /* of the last grants, a ring; 0: none */
   } LcColdLimit;
 
--- a/tests/flow/prop-cold-limit.cc
+++ b/tests/flow/prop-cold-limit.cc
@@ -162,28 +162,29 @@
   bool ok = rc::check ("a cold backend server gets no more in any second than it bears",
                        [] { run_load (*steps ()); });
 
-  ok = rc::check ("what the cold ones can't take goes to those that can, at once", [] {
-         uint32_t n = *rc::gen::inRange<uint32_t> (1, RW_N_FLOWS);
-         Load l = {};
-
-         rw_start (&l.w, N_AGENTS);
-         l.w.now_us = 10 * LC_US_PER_S;
-         for (int i = 0; i < N_AGENTS; i++)
-           {
-             rw_place (&l.w, i, (LcDcId)(i / 2 + 1));
-             if (i < 2)
-               set_cold (l, i);
-           }
-         rw_set_cold_rate (&l.w, RATE * 1000);
-         rw_show_view (&l.w);
-         offer (l, n);
-         size_t n_taken = 0;
-         for (int i = 0; i < N_AGENTS; i++)
-           n_taken += l.firsts[i].size ();
-         RC_ASSERT (n_taken == n);
-         RC_ASSERT (l.w.n_resets == 0U);
-         rw_stop (&l.w);
-       }) &&
+  ok = rc::check ("what the cold ones can't take goes to those that can, at once",
+                  [] {
+                    uint32_t n = *rc::gen::inRange<uint32_t> (1, RW_N_FLOWS);
+                    Load l = {};
+
+                    rw_start (&l.w, N_AGENTS);
+                    l.w.now_us = 10 * LC_US_PER_S;
+                    for (int i = 0; i < N_AGENTS; i++)
+                      {
+                        rw_place (&l.w, i, (LcDcId)(i / 2 + 1));
+                        if (i < 2)
+                          set_cold (l, i);
+                      }
+                    rw_set_cold_rate (&l.w, RATE * 1000);
+                    rw_show_view (&l.w);
+                    offer (l, n);
+                    size_t n_taken = 0;
+                    for (int i = 0; i < N_AGENTS; i++)
+                      n_taken += l.firsts[i].size ();
+                    RC_ASSERT (n_taken == n);
+                    RC_ASSERT (l.w.n_resets == 0U);
+                    rw_stop (&l.w);
+                  }) &&
        ok;
   return ok ? 0 : 1;
 }
