--- a/tools/completion/lychee.bash
+++ b/tools/completion/lychee.bash
@@ -8,11 +8,12 @@
     lychee-control:*) options='--settings --check --print-settings --log-level --help --version' ;;
     lychee:plan) options='--file --with --allow-empty --allow-cut --control --settings --json --timeout-s --who --request-id --help' ;;
     lychee:confirm) options='--wait --wait-s --control --settings --json --timeout-s --who --request-id --help' ;;
+    lychee:evacuate) options='--end --allow-empty --control --settings --json --timeout-s --who --request-id --help' ;;
     lychee:status) options='--control --settings --json --timeout-s --who --request-id --help' ;;
     lychee:history) options='--max --control --settings --json --timeout-s --who --request-id --help' ;;
     lychee:burn) options='--service --admin-port --history --html --fail-on-page --control --settings --json --timeout-s --who --request-id --help' ;;
     lychee:explain) options='--flow --service --caller --vm --since --until --bad --around-ms --json --help' ;;
-    lychee:*) options='plan confirm status history burn explain --help --version' ;;
+    lychee:*) options='plan confirm evacuate status history burn explain --help --version' ;;
   esac
   mapfile -t COMPREPLY < <(compgen -W "$options" -- "$word"; compgen -f -- "$word")
 }
