First view: the others are waited for 60 ms after one is offered, no longer 500 ms after the start

Ruled out: taking the first view at once (a single restart beside a control VM that is cut off would take its old view each time).

--- a/src/controller/lc-member-choose.c
+++ b/src/controller/lc-member-choose.c
@@ -5,7 +5,6 @@
 
 enum
 {
-  LC_MEMBER_FIRST_WAIT_MS = 500,  /* for the other upstreams' revisions, at start */
   LC_MEMBER_BEHIND_MS = 1000,     /* another upstream has been ahead for so long: move */
   LC_MEMBER_AVOID_MS = 10000,     /* a silent upstream, with jitter up to twice this */
   LC_MEMBER_REBALANCE_MS = 10000, /* moves to a better upstream are spread over this */
@@ -352,14 +351,13 @@
 static bool
 lc_member__may_start (const LcMember *member, int64_t now_us)
 {
+  uint32_t n_unheard = 0;
+
   if (member->sync.view.revision > 0 || member->is_started)
     return true;
-  if (now_us - member->started_us >= LC_MEMBER_FIRST_WAIT_MS * LC_US_PER_MS)
-    return true;
   for (uint32_t i = 0; i < member->n_slots; i++)
-    if (member->slots[i].is_open && !member->slots[i].is_known)
-      return false;
-  return true;
+    n_unheard += member->slots[i].is_open && !member->slots[i].is_known;
+  return lc_first_view_may_take (&member->first_view, n_unheard, now_us);
 }
 
 /* Whether the primary has been behind another upstream for too long.  One without any view is left
--- a/src/controller/lc-member-upstream.c
+++ b/src/controller/lc-member-upstream.c
@@ -357,6 +357,8 @@
     lc_member__tick_soon (member);
   slot->is_known = true;
   slot->revision = status->revision;
+  if (status->revision > 0)
+    lc_first_view_offered (&member->first_view, now_us);
   lc_member_note_revision (member, status->revision);
   slot->is_leader = status->is_leader;
   slot->stands_by = status->stands_by;
--- a/src/controller/lc-member.c
+++ b/src/controller/lc-member.c
@@ -10,7 +10,9 @@
 enum
 {
   LC_MEMBER_TICK_MS = 100,
-  LC_MEMBER_SOON_MS = 2,              /* what comes together is acted on together */
+  LC_MEMBER_FIRST_TICK_MS =
+      20,                /* while a first view is offered and not taken: a third of its wait */
+  LC_MEMBER_SOON_MS = 2, /* what comes together is acted on together */
   LC_MEMBER_LEAVE_PATIENCE_MS = 5000, /* a leaving node that hears nobody waits no longer */
 };
 
@@ -51,6 +53,12 @@
     }
 }
 
+static bool
+lc_member__awaits_view (const LcMember *member)
+{
+  return member->sync.view.revision == 0 && member->first_view.offered_us != 0;
+}
+
 static void
 lc_member__on_tick (void *user)
 {
@@ -73,7 +81,8 @@
   lc_member__note_acks (member);
   lc_member__renew_due (member, now_us);
   lc_metric_set (member->silence_gauge, lc_member_silence_us (member, now_us) / LC_US_PER_MS);
-  lc_timer_start (&member->tick, LC_MEMBER_TICK_MS);
+  lc_timer_start (&member->tick,
+                  lc_member__awaits_view (member) ? LC_MEMBER_FIRST_TICK_MS : LC_MEMBER_TICK_MS);
 }
 
 void
@@ -127,6 +136,7 @@
   member->is_held = desc->is_held;
   member->balancers_seen_revision = -1;
   member->started_us = lc_clock_now_us ();
+  member->first_view.started_us = member->started_us;
   member->first_moving = desc->kind == LC_MEMBER_AGENT ? 0 : LC_CONTROL_VMS_MAX;
   member->n_slots = member->first_moving + LC_MEMBER_MOVING_SLOTS;
   for (uint32_t i = 0; i < member->n_slots; i++)
--- a/src/controller/lc-member.h
+++ b/src/controller/lc-member.h
@@ -34,6 +34,7 @@
 
 #include "lc-view-server.h"
 
+#include "core/member/lc-first-view.h"
 #include "core/member/lc-staleness.h"
 #include "core/member/lc-upstreams.h"
 #include "core/member/lc-view-sync.h"
@@ -119,6 +120,7 @@
   LcMemberPhase phase;
   bool is_ramped;
   int64_t started_us;
+  LcFirstView first_view;
   int64_t heard_us;   /* last frame from any upstream */
   bool was_lost;      /* at the last listing: nobody had been heard for long */
   int64_t left_us;    /* 0, or when the planned stop began */
