Control: what was known to be committed is written with the log and applied at a start

A batch of entries now ends with the commit index known when it was written (33 bytes, no write of its own). Entries up to it are committed for good, so a replica applies them at its start and serves that view, unconfirmed as any view of a follower that hears no leader; reads and orders still need a leader under its lease. It lags by the last batch.

Ruled out: votes as soon as a majority is fresh (a fresh voter may have promised a lease that it no longer knows of; waiting the lease out gains 0.05 s at most); applying the whole log (an entry may still be replaced). An older program refuses a folder with such a record.

--- a/src/control/lc-replica.c
+++ b/src/control/lc-replica.c
@@ -309,6 +309,7 @@
                       .snapshot = replica->found.snapshot,
                       .entries = (const LcRaftEntry *)replica->found.entries->data,
                       .n_entries = replica->found.entries->len,
+                      .commit_index = replica->found.commit_index,
                       .initial_config = replica->found.initial };
   LcStoreTaskDesc task = { .loop = replica->desc.app->loop,
                            .store = &replica->store,
--- a/src/core/control/lc-raft-types.h
+++ b/src/core/control/lc-raft-types.h
@@ -97,6 +97,7 @@
     LcReplicaId vote;
     LcRaftSnapshot snapshot; /* index 0: none; replaces the whole log */
     GArray *entries;         /* LcRaftEntry; NULL: none */
+    uint64_t commit_index;   /* known so far; written along with entries only */
   } LcRaftPersist;
 
   typedef enum
--- a/src/core/control/lc-raft.c
+++ b/src/core/control/lc-raft.c
@@ -97,7 +97,7 @@
       g_array_append_val (raft->log, copy);
     }
   lc_raft__refresh_config (raft);
-  raft->commit_index = raft->base_index;
+  raft->commit_index = CLAMP (desc->commit_index, raft->base_index, lc_raft_last_index (raft));
   raft->applied_index = raft->base_index;
   raft->stable_index = lc_raft_last_index (raft);
   raft->taken_index = raft->stable_index;
@@ -287,6 +287,7 @@
   persist->has_hard_state = raft->is_hard_dirty;
   persist->term = raft->term;
   persist->vote = raft->vote;
+  persist->commit_index = raft->commit_index;
   if (raft->is_install_dirty)
     lc_raft_snapshot_copy (&persist->snapshot, &raft->installing);
   else
--- a/src/core/control/lc-raft.h
+++ b/src/core/control/lc-raft.h
@@ -68,6 +68,9 @@
     LcRaftSnapshot snapshot;    /* references are taken */
     const LcRaftEntry *entries; /* after the snapshot, without gaps; references are taken */
     size_t n_entries;
+    /* Entries up to it are committed, whatever other members say: they are applied at once, so that
+     * a state is there before a leader is.  It lags behind what was committed in the end. */
+    uint64_t commit_index;
     LcRaftConfig initial_config; /* in force where neither snapshot nor entries name another */
   } LcRaftDesc;
 
--- a/src/core/control/lc-store-recover.c
+++ b/src/core/control/lc-store-recover.c
@@ -145,6 +145,9 @@
       replay->has_entries = true;
       lc_store__note_end (store, record->reset.index);
       return 0;
+    case LC_WAL_COMMIT:
+      replay->found->commit_index = MAX (replay->found->commit_index, record->commit_index);
+      return 0;
     }
   return 0;
 }
--- a/src/core/control/lc-store.c
+++ b/src/core/control/lc-store.c
@@ -264,6 +264,9 @@
     lc_wal_put_hard_state (bytes, batch, persist->term, persist->vote);
   for (guint i = 0; persist->entries != NULL && i < persist->entries->len; i++)
     lc_wal_put_entry (bytes, batch, &g_array_index (persist->entries, LcRaftEntry, i));
+  /* Last, so that the entries that it speaks of are whole where it is; never a write of its own. */
+  if (persist->entries != NULL && persist->entries->len > 0 && persist->commit_index > 0)
+    lc_wal_put_commit (bytes, batch, persist->commit_index);
 }
 
 static void
--- a/src/core/control/lc-store.h
+++ b/src/core/control/lc-store.h
@@ -83,7 +83,8 @@
     uint64_t term;
     LcReplicaId vote;
     LcRaftSnapshot snapshot;
-    GArray *entries; /* LcRaftEntry, after the snapshot */
+    GArray *entries;       /* LcRaftEntry, after the snapshot */
+    uint64_t commit_index; /* entries up to it were known to be committed; 0: not known */
   } LcStoreFound;
 
   void lc_store_init (LcStore *store, const LcStoreDesc *desc);
--- a/src/core/control/lc-wal.c
+++ b/src/core/control/lc-wal.c
@@ -114,6 +114,15 @@
   lc_wal__end (out, start, batch);
 }
 
+void
+lc_wal_put_commit (GByteArray *out, uint64_t batch, uint64_t commit_index)
+{
+  guint start = lc_wal__begin (out, LC_WAL_COMMIT);
+
+  lc_bytes_put_u64 (out, commit_index);
+  lc_wal__end (out, start, batch);
+}
+
 /* === reading ================================================================================ */
 
 static bool
@@ -155,6 +164,9 @@
       record->reset.index = lc_bytes_get_u64 (&body);
       record->reset.term = lc_bytes_get_u64 (&body);
       return !body.is_bad;
+    case LC_WAL_COMMIT:
+      record->commit_index = lc_bytes_get_u64 (&body);
+      return !body.is_bad;
     }
   return false;
 }
--- a/src/core/control/lc-wal.h
+++ b/src/core/control/lc-wal.h
@@ -44,6 +44,7 @@
     LC_WAL_HARD_STATE = 2, /* term and vote */
     LC_WAL_ENTRY = 3,      /* replaces the entries from its index on */
     LC_WAL_RESET = 4,      /* a snapshot replaced the log: entries continue after `index` */
+    LC_WAL_COMMIT = 5,     /* entries up to this index were known to be committed */
   } LcWalKind;
 
   typedef struct
@@ -68,6 +69,7 @@
         uint64_t index;
         uint64_t term;
       } reset;
+      uint64_t commit_index;
     };
   } LcWalRecord;
 
@@ -76,6 +78,8 @@
   void lc_wal_put_entry (GByteArray *out, uint64_t batch, const LcRaftEntry *entry);
   void lc_wal_put_reset (GByteArray *out, uint64_t batch, uint64_t index, uint64_t term);
 
+  void lc_wal_put_commit (GByteArray *out, uint64_t batch, uint64_t commit_index);
+
   size_t lc_wal_get (LcWalRecord *record, const uint8_t *bytes, size_t len, const char **why);
   void lc_wal_record_finish (LcWalRecord *record);
 
--- a/tests/control/test-raft.c
+++ b/tests/control/test-raft.c
@@ -462,6 +462,52 @@
 }
 END_TEST
 
+/* === what was known to be committed ========================================================= */
+
+static const struct
+{
+  const char *what;
+  uint64_t commit_index; /* as recovered */
+  uint64_t expected;     /* applied before any leader speaks */
+} KNOWN_COMMITS[] = {
+  { "nothing was known", 0, 0 },
+  { "some", 3, 3 },
+  { "all", 5, 5 },
+  { "more than is there: the disk lost the end", 9, 5 },
+};
+
+START_TEST (test_known_commits_are_applied_at_the_start)
+{
+  enum
+  {
+    N_ENTRIES = 5,
+  };
+  LcRaftEntry entries[N_ENTRIES];
+  LcRaftDesc desc = { .id = ME, .seed = 1, .term = 1, .initial_config = three () };
+  LcRaftPersist persist;
+  uint64_t n = 0;
+  LcRaft raft;
+
+  for (int i = 0; i < N_ENTRIES; i++)
+    entries[i] = (LcRaftEntry){ .index = (uint64_t)i + 1,
+                                .term = 1,
+                                .kind = LC_RAFT_ENTRY_COMMAND,
+                                .data = g_bytes_new_static ("x", 1) };
+  desc.entries = entries;
+  desc.n_entries = N_ENTRIES;
+  desc.commit_index = KNOWN_COMMITS[_i].commit_index;
+  lc_raft_init (&raft, &desc, 0);
+  for (; lc_raft_next_committed (&raft) != NULL; n++)
+    lc_raft_applied (&raft);
+  ck_assert_msg (n == KNOWN_COMMITS[_i].expected, "%s: %u", KNOWN_COMMITS[_i].what, (unsigned)n);
+  /* It leads nobody and vouches for nothing: only a leader does. */
+  ck_assert (!lc_raft_is_leader (&raft));
+  ck_assert (!lc_raft_can_read (&raft, 1));
+  ck_assert (!lc_raft_take_persist (&raft, &persist));
+  lc_raft_finish (&raft);
+}
+END_TEST
+
 /* === after a start of all =================================================================== */
 
 static const struct
@@ -705,6 +751,8 @@
   tcase_add_test (tcase, test_leader_without_quorum_steps_down);
   tcase_add_test (tcase, test_suspended_replica_neither_leads_nor_votes);
   tcase_add_test (tcase, test_contradiction_of_a_commit_is_refused);
+  tcase_add_loop_test (tcase, test_known_commits_are_applied_at_the_start, 0,
+                       (int)G_N_ELEMENTS (KNOWN_COMMITS));
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
 }
--- a/tests/control/test-store.c
+++ b/tests/control/test-store.c
@@ -25,11 +25,13 @@
 }
 
 static int
-write_entries (LcStore *store, uint64_t from, uint64_t n, uint64_t term, LcError *error)
+write_batch (
+    LcStore *store, uint64_t from, uint64_t n, uint64_t term, uint64_t commit_index, LcError *error)
 {
   LcRaftPersist persist = { .sequence = from, .has_hard_state = true, .term = term, .vote = 7 };
   int r;
 
+  persist.commit_index = commit_index;
   persist.entries = lc_raft_entries_new ();
   for (uint64_t i = from; i < from + n; i++)
     {
@@ -42,6 +44,12 @@
   return r;
 }
 
+static int
+write_entries (LcStore *store, uint64_t from, uint64_t n, uint64_t term, LcError *error)
+{
+  return write_batch (store, from, n, term, 0, error);
+}
+
 static void
 open_store (LcStore *store, LcFakeDisk *fake, uint32_t segment_bytes)
 {
@@ -51,9 +59,10 @@
   lc_store_init (store, &desc);
 }
 
-/* A folder with N_BATCHES batches of two entries each. */
+/* A folder with N_BATCHES batches of two entries each, which bring, if they are told, that all
+ * before them is committed. */
 static LcFakeDisk *
-filled (uint32_t segment_bytes)
+filled_with (uint32_t segment_bytes, bool tells_commits)
 {
   LcFakeDisk *fake = lc_fake_disk_new (1);
   LcError error = { 0 };
@@ -65,11 +74,17 @@
   lc_store_found_finish (&found);
   ck_assert_int_eq (lc_store_format (&store, REPLICA, &error), 0);
   for (uint64_t i = 0; i < N_BATCHES; i++)
-    ck_assert_int_eq (write_entries (&store, 1 + 2 * i, 2, 3, &error), 0);
+    ck_assert_int_eq (write_batch (&store, 1 + 2 * i, 2, 3, tells_commits ? 2 * i : 0, &error), 0);
   lc_store_finish (&store);
   return fake;
 }
 
+static LcFakeDisk *
+filled (uint32_t segment_bytes)
+{
+  return filled_with (segment_bytes, false);
+}
+
 static int
 recover (LcFakeDisk *fake, uint32_t segment_bytes, uint64_t *n_entries, LcError *error)
 {
@@ -91,6 +106,45 @@
   return r;
 }
 
+/* === what was known to be committed ========================================================= */
+
+/* A torn end takes the newest batch with it, never what an earlier one says. */
+START_TEST (test_commit_index_is_recovered)
+{
+  static const struct
+  {
+    const char *what;
+    uint32_t cut_bytes;
+    uint32_t segment_bytes;
+    uint64_t commit_index;
+  } CASES[] = {
+    { "whole", 0, 0, 2 * N_BATCHES - 2 },
+    { "in many segments", 0, 400, 2 * N_BATCHES - 2 },
+    { "its own record is torn", 1, 0, 2 * N_BATCHES - 4 },
+    { "an entry of the batch is torn", 60, 0, 2 * N_BATCHES - 4 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (CASES); i++)
+    {
+      LcFakeDisk *fake = filled_with (CASES[i].segment_bytes, true);
+      GByteArray *newest = lc_fake_disk_bytes (fake, lc_fake_disk_newest_segment (fake));
+      LcError error = { 0 };
+      LcStoreFound found;
+      LcStore store;
+
+      g_byte_array_set_size (newest, newest->len - CASES[i].cut_bytes);
+      open_store (&store, fake, CASES[i].segment_bytes);
+      ck_assert_int_eq (lc_store_open (&store, &found, &error), 0);
+      ck_assert_msg (found.commit_index == CASES[i].commit_index, "%s: %u", CASES[i].what,
+                     (unsigned)found.commit_index);
+      ck_assert_uint_le (found.commit_index, found.entries->len);
+      lc_store_found_finish (&found);
+      lc_store_finish (&store);
+      lc_fake_disk_free (fake);
+    }
+}
+END_TEST
+
 /* === damage ================================================================================= */
 
 typedef enum
@@ -352,6 +406,7 @@
   tcase_add_test (tcase, test_failed_sync_is_never_tried_again);
   tcase_add_test (tcase, test_snapshot_removes_segments);
   tcase_add_test (tcase, test_installed_snapshot_replaces_the_log);
+  tcase_add_test (tcase, test_commit_index_is_recovered);
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
 }
--- a/tests/fakes/lc-fake-cluster.c
+++ b/tests/fakes/lc-fake-cluster.c
@@ -187,6 +187,7 @@
                       .snapshot = found->snapshot,
                       .entries = (const LcRaftEntry *)found->entries->data,
                       .n_entries = found->entries->len,
+                      .commit_index = found->commit_index,
                       .initial_config = found->initial };
 
   lc_raft_init (&n->raft, &desc, lc_fake__clock (c, n));
