--- a/src/core/member/lc-first-view.h
+++ b/src/core/member/lc-first-view.h
@@ -1,9 +1,9 @@
 /* lc-first-view: how long a member that has just started waits for the newest view.
  *
  * WHAT IT IS
- *   A member that starts asks several upstreams.  The first to answer may be one that is cut off and
- *   has an old view, so the others are given a moment to say what they have; but each moment without
- *   a view is one without service.
+ *   A member that starts asks several upstreams.  The first to answer may be one that is cut off
+ * and has an old view, so the others are given a moment to say what they have; but each moment
+ * without a view is one without service.
  *
  * LOAD PATTERN
  *   After a loss of all power upstreams come back over half a second.  All who start wait for those
@@ -11,8 +11,8 @@
  *   flow, measured as the median from the first upstream's answer to the first view, 83 VMs.
  *
  * LIMITS, AND WHY
- *   - LC_FIRST_VIEW_OTHERS_MS after the first view was offered: an upstream that runs answers within
- *     some 50 ms, also where a core's share is given out by tenths of a second.
+ *   - LC_FIRST_VIEW_OTHERS_MS after the first view was offered: an upstream that runs answers
+ * within some 50 ms, also where a core's share is given out by tenths of a second.
  *   - LC_FIRST_VIEW_START_MS after the start nobody is waited for any more.
  *   An old view that was taken all the same is left when a newer one is known for a second.
  *
--- a/tests/flow/prop-cold-limit.cc
+++ b/tests/flow/prop-cold-limit.cc
@@ -2,6 +2,7 @@
  * agents restart and whatever others know, none is given more in any second than its rate with the
  * stated overshoot and slack.
  */
+#include "prop-steps.hh"
 #include "return-world.h"
 
 #include <rapidcheck.h>
@@ -29,26 +30,6 @@
   N_KINDS
 };
 
-struct Step
-{
-  int kind;
-  uint32_t subject;
-};
-
-void
-showValue (const Step &s, std::ostream &os)
-{
-  os << "{kind " << s.kind << ", subject " << s.subject << "}";
-}
-
-rc::Gen<std::vector<Step> >
-steps ()
-{
-  return rc::gen::container<std::vector<Step> > (
-      rc::gen::build<Step> (rc::gen::set (&Step::kind, rc::gen::inRange<int> (0, N_KINDS)),
-                            rc::gen::set (&Step::subject, rc::gen::inRange<uint32_t> (0, 1000))));
-}
-
 struct Load
 {
   RwWorld w;
@@ -160,7 +141,7 @@
 main ()
 {
   bool ok = rc::check ("a cold backend server gets no more in any second than it bears",
-                       [] { run_load (*steps ()); });
+                       [] { run_load (*steps (N_KINDS)); });
 
   ok = rc::check ("what the cold ones can't take goes to those that can, at once",
                   [] {
--- a/tests/flow/prop-evacuation.cc
+++ b/tests/flow/prop-evacuation.cc
@@ -2,6 +2,7 @@
  * VMs that lag, and what first packets reach while views lag and agents restart.
  */
 #include "core/control/lc-evacuation.h"
+#include "prop-steps.hh"
 #include "return-world.h"
 
 #include <rapidcheck.h>
@@ -27,26 +28,6 @@
   N_KINDS
 };
 
-struct Step
-{
-  int kind;
-  uint32_t subject;
-};
-
-void
-showValue (const Step &s, std::ostream &os)
-{
-  os << "{kind " << s.kind << ", subject " << s.subject << "}";
-}
-
-rc::Gen<std::vector<Step> >
-steps ()
-{
-  return rc::gen::container<std::vector<Step> > (
-      rc::gen::build<Step> (rc::gen::set (&Step::kind, rc::gen::inRange<int> (0, N_KINDS)),
-                            rc::gen::set (&Step::subject, rc::gen::inRange<uint32_t> (0, 1000))));
-}
-
 LcDcId
 dc_of (uint32_t subject)
 {
@@ -227,7 +208,7 @@
 {
   bool ok =
       rc::check ("an evacuated data centre gets no first packet that its agents know to refuse",
-                 [] { run_world (*steps ()); });
+                 [] { run_world (*steps (N_KINDS)); });
 
   ok = rc::check ("an order that was held up changes nothing after its operator was answered",
                   [] {
--- a/tests/flow/prop-flow-return.cc
+++ b/tests/flow/prop-flow-return.cc
@@ -1,6 +1,7 @@
 /* Event orders of steering where backend servers return what they do not hold, searched by
  * RapidCheck: agents restart, endpoints join, leave and are lost, and views lag behind each other.
  */
+#include "prop-steps.hh"
 #include "return-world.h"
 
 #include <rapidcheck.h>
@@ -32,26 +33,6 @@
 /* So few that events often meet at one. */
 const uint32_t FEW_FLOWS = 3;
 
-struct Step
-{
-  int kind;
-  uint32_t subject;
-};
-
-void
-showValue (const Step &s, std::ostream &os)
-{
-  os << "{kind " << s.kind << ", subject " << s.subject << "}";
-}
-
-rc::Gen<std::vector<Step> >
-steps ()
-{
-  return rc::gen::container<std::vector<Step> > (
-      rc::gen::build<Step> (rc::gen::set (&Step::kind, rc::gen::inRange<int> (0, N_KINDS)),
-                            rc::gen::set (&Step::subject, rc::gen::inRange<uint32_t> (0, 1000))));
-}
-
 uint32_t
 delivered (const RwWorld &w)
 {
@@ -181,7 +162,7 @@
   bool ok = true;
 
   ok &= rc::check ("a held flow is found, and never reset, whatever happened", [] {
-    const auto order = *steps ();
+    const auto order = *steps (N_KINDS);
     RwWorld w;
 
     rw_start (&w, 3);
@@ -189,7 +170,7 @@
     rw_stop (&w);
   });
   ok &= rc::check ("so it is in a large service, where owners are asked for in rounds", [] {
-    const auto order = *steps ();
+    const auto order = *steps (N_KINDS);
     RwWorld w;
 
     rw_start_sized (&w, N_ROUNDS, N_ROUNDS + 5, true);
--- /dev/null
+++ b/tests/flow/test-flow-evacuation.c
@@ -0,0 +1,157 @@
+/* Flows while a data centre is evacuated: who gets new ones, and that open ones stay. */
+#include "return-world.h"
+#include "tests/fakes/lc-fake-run.h"
+
+#include <check.h>
+
+enum
+{
+  EMPTIED = 1, /* data centre of the agents 0 and 1 */
+  STAYING = 2, /* of the agents 2 and 3 */
+};
+
+static void
+start_in_two (RwWorld *w)
+{
+  rw_start (w, 4);
+  for (int i = 0; i < 4; i++)
+    rw_place (w, i, i < 2 ? EMPTIED : STAYING);
+  rw_show_view (w);
+}
+
+static void
+show_to (RwWorld *w, int first, int last)
+{
+  for (int i = first; i <= last; i++)
+    rw_show_agent (w, i);
+}
+
+static const struct
+{
+  const char *what;
+  int first; /* the agents that have seen the newest view */
+  int last;
+  bool balancer_sees;
+} SEEN_BY[] = {
+  { "everybody has seen it", 0, 4, true },
+  { "the balancer has an old view", 0, 4, false },
+  { "only the agents there have seen it", 0, 1, false },
+};
+
+START_TEST (test_new_flows_avoid_what_is_evacuated)
+{
+  RwWorld w;
+
+  start_in_two (&w);
+  rw_evacuate (&w, EMPTIED, true);
+  show_to (&w, SEEN_BY[_i].first, SEEN_BY[_i].last);
+  if (SEEN_BY[_i].balancer_sees)
+    rw_show_balancer (&w);
+  rw_open_flows (&w);
+  ck_assert_msg (w.nodes[0].n_firsts + w.nodes[1].n_firsts == 0, "%s", SEEN_BY[_i].what);
+  for (uint32_t f = 0; f < RW_N_FLOWS; f++)
+    ck_assert_msg (rw_n_held (&w, f) == 1, "%s: flow %u", SEEN_BY[_i].what, f);
+  rw_stop (&w);
+}
+END_TEST
+
+/* Homes don't change: nothing is searched for, as it would be if the endpoints left the set. */
+START_TEST (test_open_flows_stay_in_an_evacuation)
+{
+  RwWorld w;
+
+  start_in_two (&w);
+  rw_open_flows (&w);
+  ck_assert_uint_gt (w.nodes[0].n_firsts + w.nodes[1].n_firsts, 0);
+  rw_settle (&w);
+  for (int round = 0; round < 2; round++)
+    {
+      rw_evacuate (&w, EMPTIED, round == 0);
+      rw_show_view (&w);
+      w.n_searches = 0;
+      rw_check_all_reach (&w, "evacuated");
+      ck_assert_uint_eq (w.n_searches, 0);
+    }
+  ck_assert_uint_eq (w.n_resets + rw_take_resets (&w), 0);
+  rw_stop (&w);
+}
+END_TEST
+
+/* Refused at once: a caller who hears nothing would come again twice and wait for 1.4 s. */
+START_TEST (test_nothing_left_is_said_at_once)
+{
+  RwWorld w;
+  LcPacket first = rw_packet_of (0, true);
+
+  start_in_two (&w);
+  rw_evacuate (&w, EMPTIED, true);
+  rw_evacuate (&w, STAYING, true);
+  rw_show_view (&w);
+  (void)rw_send (&w, &first);
+  ck_assert_uint_eq (w.n_resets, 1);
+  ck_assert_uint_eq (rw_n_held (&w, 0), 0);
+  rw_evacuate (&w, STAYING, false);
+  rw_show_view (&w);
+  (void)rw_send (&w, &first);
+  ck_assert_uint_eq (rw_n_held (&w, 0), 1);
+  rw_stop (&w);
+}
+END_TEST
+
+START_TEST (test_choice_tells_why_nobody_is_left)
+{
+  static const struct
+  {
+    const char *what;
+    LcEndpointState state;
+    bool is_evacuated;
+    bool is_refusing;
+    LcDropReason reason;
+  } CASES[] = {
+    { "evacuated", LC_ENDPOINT_ACTIVE, true, false, LC_DROP_EVACUATED },
+    { "leaving", LC_ENDPOINT_DRAINING, true, false, LC_DROP_NO_ENDPOINT },
+    { "refusing, elsewhere", LC_ENDPOINT_ACTIVE, false, true, LC_DROP_LIMIT },
+    { "taking", LC_ENDPOINT_ACTIVE, false, false, LC_DROP_NONE },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (CASES); i++)
+    {
+      LcAssignDesc desc = { 0 };
+      LcAssign assign;
+      RwWorld w;
+      int chosen;
+
+      start_in_two (&w);
+      for (int k = 0; k < 4; k++)
+        rw_put_endpoint (&w, k, CASES[i].state);
+      rw_evacuate (&w, EMPTIED, CASES[i].is_evacuated);
+      rw_evacuate (&w, STAYING, CASES[i].is_evacuated);
+      lc_assign_init (&assign, &desc);
+      lc_assign_set_members (&assign, lc_view_service (&w.view, 1), 1, 0);
+      lc_assign_set_evacuated (&assign, &w.view);
+      for (LcEndpointId id = 1; id <= 4 && CASES[i].is_refusing; id++)
+        lc_assign_refused (&assign, id, 1);
+      chosen = lc_assign_choose (&assign, 5, 0, 2);
+      ck_assert_msg ((chosen >= 0) == (CASES[i].reason == LC_DROP_NONE), "%s", CASES[i].what);
+      if (chosen < 0)
+        ck_assert_msg (assign.failure == CASES[i].reason, "%s", CASES[i].what);
+      lc_assign_finish (&assign);
+      rw_stop (&w);
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("flow-evacuation");
+  TCase *tcase = tcase_create ("flows");
+
+  tcase_add_loop_test (tcase, test_new_flows_avoid_what_is_evacuated, 0,
+                       (int)G_N_ELEMENTS (SEEN_BY));
+  tcase_add_test (tcase, test_open_flows_stay_in_an_evacuation);
+  tcase_add_test (tcase, test_nothing_left_is_said_at_once);
+  tcase_add_test (tcase, test_choice_tells_why_nobody_is_left);
+  suite_add_tcase (suite, tcase);
+  return lc_fake_run (suite);
+}
