Evacuation: agents that own flows refuse first packets, too

Cause, found by reading the change: where backend servers don't return packets (lc-steer) the agent refused only while it leaves; an assigner with an old view could still give it a first packet. test_owning_agent_refuses_while_evacuated failed before (delivered), passes now. flow-properties and the others of the plane pass.

--- a/src/core/flow/lc-flow-agent-packet.c
+++ b/src/core/flow/lc-flow-agent-packet.c
@@ -9,12 +9,19 @@
 
 /* === private: what the agent knows ========================================================== */
 
+/* By the newest view here: an assigner whose view is older may still choose this endpoint. */
+bool
+lc_flow_agent__is_evacuated (const LcFlowAgent *a)
+{
+  return a->view != NULL && lc_view_is_evacuated (a->view, a->dc);
+}
+
 static LcSteerSelf
 lc_flow_agent__self (const LcFlowAgent *a)
 {
   return (LcSteerSelf){ .agent = a->desc.self,
                         .service_id = a->desc.service_id,
-                        .is_leaving = a->is_leaving,
+                        .is_leaving = a->is_leaving || lc_flow_agent__is_evacuated (a),
                         .is_full = lc_flow_agent_open_flows (a) >= a->desc.connection_limit,
                         .is_cut_off = a->is_cut_off,
                         .is_settled = lc_candidate_sets_settled (&a->sets) };
@@ -38,13 +45,6 @@
   return known;
 }
 
-/* By the newest view here: an assigner whose view is older may still choose this endpoint. */
-bool
-lc_flow_agent__is_evacuated (const LcFlowAgent *a)
-{
-  return a->view != NULL && lc_view_is_evacuated (a->view, a->dc);
-}
-
 bool
 lc_flow_agent__is_accepting (const LcFlowAgent *a)
 {
--- a/tests/flow/test-flow-evacuation.c
+++ b/tests/flow/test-flow-evacuation.c
@@ -141,6 +141,50 @@
 }
 END_TEST
 
+/* The same where backend servers don't return packets, and flows are owned by agents. */
+START_TEST (test_owning_agent_refuses_while_evacuated)
+{
+  LcViewOp service = { .revision = 1, .kind = LC_VIEW_SERVICE };
+  LcViewOp endpoint = { .revision = 1, .kind = LC_VIEW_ENDPOINT };
+  LcFlowAgentDesc desc = { .self = { 1, 1, 101, 7100 }, .service_id = 1 };
+  LcFlowAgent agent;
+  LcView view;
+
+  lc_view_init (&view);
+  service.service.id = 1;
+  (void)g_strlcpy (service.service.name, "desk", sizeof service.service.name);
+  ck_assert_int_eq (lc_view_apply (&view, &service, NULL), 0);
+  endpoint.endpoint = (LcEndpoint){ .id = 1, .service_id = 1, .instance = 101, .dc = EMPTIED };
+  endpoint.endpoint.state = LC_ENDPOINT_ACTIVE;
+  endpoint.endpoint.weight_percent = 100;
+  ck_assert_int_eq (lc_view_apply (&view, &endpoint, NULL), 0);
+  lc_flow_agent_init (&agent, &desc, 0);
+  lc_flow_agent_set_dc (&agent, EMPTIED);
+  for (int is_evacuated = 1; is_evacuated >= 0; is_evacuated--)
+    {
+      LcEnvelope e = { .mode = LC_MODE_OPEN, .hops_left = 9, .n = 1, .service_id = 1 };
+      LcViewOp dc = { .revision = 1, .kind = LC_VIEW_DC };
+      LcPacket first = rw_packet_of (7, true);
+      LcFlowAction action;
+
+      dc.dc = (LcDataCentre){ .id = EMPTIED, .state = LC_DC_ACTIVE };
+      dc.dc.is_evacuated = is_evacuated;
+      ck_assert_int_eq (lc_view_apply (&view, &dc, NULL), 0);
+      lc_flow_agent_set_view (&agent, &view, 1);
+      e.revision = view.revision;
+      e.set_rank = UINT64_MAX;
+      e.target_id = 1;
+      e.target_instance = 101;
+      e.candidates[0] = (LcCandidate){ 2, 2, 102, 7100 };
+      action = lc_flow_agent_packet (&agent, &e, &first, 2);
+      ck_assert_int_eq (action.kind, is_evacuated ? LC_FLOW_ACTION_SEND : LC_FLOW_ACTION_DELIVER);
+      ck_assert_int_eq (e.mode, is_evacuated ? LC_MODE_REFUSED : LC_MODE_OPEN);
+    }
+  lc_flow_agent_finish (&agent);
+  lc_view_finish (&view);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -152,6 +196,7 @@
   tcase_add_test (tcase, test_open_flows_stay_in_an_evacuation);
   tcase_add_test (tcase, test_nothing_left_is_said_at_once);
   tcase_add_test (tcase, test_choice_tells_why_nobody_is_left);
+  tcase_add_test (tcase, test_owning_agent_refuses_while_evacuated);
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
 }
