Flow world: agents' tables are checked after each event, and one flow can be traced

The world told neither which event broke a table nor where the copies of a packet went. lc_flow_table_fault looks at the queue, the index and the counts; the world ends at the first fault and names the event; TRACE_FLOW=N prints a flow's packets and messages with what the table said before and after.

--- a/bench/lc-flow-world-callers.c
+++ b/bench/lc-flow-world-callers.c
@@ -23,8 +23,8 @@
 }
 
 /* Flows are numbered through their source address and port. */
-static LcFlowKey
-lc_world__key_of (const LcFlowWorld *w, uint32_t index)
+LcFlowKey
+lc_world_key_of (const LcFlowWorld *w, uint32_t index)
 {
   return (LcFlowKey){ .source_ipv4 = LC_WORLD_CALLERS + index / LC_WORLD_PORTS,
                       .target_ipv4 = 0x0a000000 + LC_WORLD_SERVICE,
@@ -57,7 +57,7 @@
   double mean_us = (double)w->desc.flow_mean_us;
   uint32_t index = w->flows->len;
 
-  f.key = lc_world__key_of (w, index);
+  f.key = lc_world_key_of (w, index);
   if (g_rand_double (w->callers) * 1000 < w->desc.heavy_permille)
     {
       f.weight = w->desc.heavy_weight;
@@ -340,6 +340,8 @@
 {
   LcWorldAgent *a = w->agents[address];
   LcFlowAction action;
+  LcWorldSeen before;
+  LcEnvelope came;
 
   if (a == NULL || !a->is_alive)
     return;
@@ -349,7 +351,11 @@
       d->envelope.target_id = a->id;
       d->envelope.target_instance = a->instance;
     }
+  came = d->envelope;
+  before = lc_world_seen (a, &d->packet.key);
   action = lc_flow_agent_packet (&a->agent, &d->envelope, &d->packet, w->now_us);
+  if (d->flow == w->desc.trace_flow && d->flow != 0)
+    lc_world_trace_packet (w, a, &came, d, &before, &action);
   switch (action.kind)
     {
     case LC_FLOW_ACTION_DELIVER:
--- a/bench/lc-flow-world-private.h
+++ b/bench/lc-flow-world-private.h
@@ -175,6 +175,30 @@
   void lc_world_measure (LcFlowWorld *w);
   double lc_world_capacity (const LcFlowWorld *w, const LcEndpoint *e);
 
+  /* What an agent's table says of a flow. */
+  typedef struct
+  {
+    LcFlowKind kind;
+    LcEndpointId other; /* the owner, assigner or origin */
+    LcInstance instance;
+    uint32_t epoch;
+    uint8_t flags;
+  } LcWorldSeen;
+
+  LcWorldSeen lc_world_seen (const LcWorldAgent *agent, const LcFlowKey *key);
+  void lc_world_trace_packet (const LcFlowWorld *w,
+                              const LcWorldAgent *agent,
+                              const LcEnvelope *came,
+                              const LcWorldDatagram *d,
+                              const LcWorldSeen *before,
+                              const LcFlowAction *action);
+  void lc_world_trace_message (const LcFlowWorld *w,
+                               const LcWorldAgent *agent,
+                               const LcFlowMessage *message,
+                               const LcFlowKey *key,
+                               const LcWorldSeen *before);
+  LcFlowKey lc_world_key_of (const LcFlowWorld *w, uint32_t flow);
+
   LcEndpointId lc_world_baseline (LcFlowWorld *w, uint32_t balancer, const LcWorldDatagram *d);
 
 #ifdef __cplusplus
--- a/bench/lc-flow-world.c
+++ b/bench/lc-flow-world.c
@@ -207,6 +207,21 @@
                  g_memdup2 (&change, sizeof change));
 }
 
+static void
+lc_world__on_message (LcFlowWorld *w, LcWorldAgent *a, const LcFlowMessage *m)
+{
+  LcFlowKey key = lc_world_key_of (w, w->desc.trace_flow);
+  LcWorldSeen before;
+
+  if (a == NULL || !a->is_alive)
+    return;
+  before = lc_world_seen (a, &key);
+  lc_flow_agent_message (&a->agent, m, w->now_us);
+  if (w->desc.trace_flow != 0)
+    lc_world_trace_message (w, a, m, &key, &before);
+  lc_world_send_messages (w, a);
+}
+
 static void
 lc_world__dispatch (LcFlowWorld *w, const LcWorldEvent *e)
 {
@@ -231,11 +246,7 @@
       lc_world_on_direct (w, e->a, e->data);
       break;
     case LC_WORLD_MESSAGE:
-      if (w->agents[e->a] != NULL && w->agents[e->a]->is_alive)
-        {
-          lc_flow_agent_message (&w->agents[e->a]->agent, e->data, w->now_us);
-          lc_world_send_messages (w, w->agents[e->a]);
-        }
+      lc_world__on_message (w, w->agents[e->a], e->data);
       break;
     case LC_WORLD_VIEW:
       lc_world_on_view (w, e->b != 0, e->a);
@@ -268,6 +279,21 @@
     }
 }
 
+static void
+lc_world__check_tables (LcFlowWorld *w, LcWorldEventKind kind)
+{
+  for (uint32_t i = 0; i < LC_FLOW_WORLD_AGENTS; i++)
+    {
+      const LcWorldAgent *a = w->agents[i];
+      const char *fault = a != NULL && a->is_alive ? lc_flow_table_fault (&a->agent.table) : NULL;
+
+      if (fault == NULL)
+        continue;
+      w->counts.table_faults++;
+      lc_world_complain (w, "table of endpoint %u after event %d: %s", a->id, kind, fault);
+    }
+}
+
 void
 lc_flow_world_run (LcFlowWorld *w)
 {
@@ -284,6 +310,10 @@
         }
       w->now_us = event.when_us;
       lc_world__dispatch (w, &event);
+      if (w->desc.checks_tables)
+        lc_world__check_tables (w, event.kind);
+      if (w->counts.table_faults > 0)
+        return; /* what comes next may crash */
       g_free (event.data);
     }
 }
--- a/bench/lc-flow-world.h
+++ b/bench/lc-flow-world.h
@@ -95,6 +95,8 @@
     bool is_udp;                 /* no first-packet mark */
     bool has_hints;              /* balancers cache the owners that agents tell them */
     LcFlowAgentDesc agent;       /* policy of the agents; self and service are filled in */
+    bool checks_tables;          /* looks at every agent's table after each event */
+    uint32_t trace_flow;         /* prints where packets of this flow go; 0: none */
     bool breaks_order;           /* the newest set assigns: a wrong variant, for the tests */
     bool breaks_settling;        /* time alone settles a view: a wrong variant, for the tests */
     bool breaks_instance;        /* agents ignore whom a packet is for: a wrong variant */
@@ -111,6 +113,7 @@
     uint64_t misdelivered;  /* to another service */
     uint64_t late_accepts;  /* first packets taken by a leaving endpoint */
     uint64_t endless;       /* walks that ran out of hops */
+    uint64_t table_faults;  /* agents' tables found inconsistent; see checks_tables */
     uint64_t packets;       /* delivered */
     uint64_t sends;         /* datagrams between balancers and agents for those */
     uint64_t retries;
--- a/src/core/flow/lc-flow-table.c
+++ b/src/core/flow/lc-flow-table.c
@@ -304,3 +304,53 @@
   return sizeof *t + (size_t)t->capacity * sizeof *t->flows +
          ((size_t)t->slot_mask + 1) * sizeof *t->slots;
 }
+
+/* === public: self-check ===================================================================== */
+
+static const char *
+lc_flow_table__queue_fault (const LcFlowTable *t)
+{
+  uint32_t previous = LC_FLOW_NONE;
+  uint32_t n = 0;
+
+  for (uint32_t i = t->queue_head; i != LC_FLOW_NONE; i = t->flows[i].queue_next)
+    {
+      const LcFlow *f;
+
+      if (i >= t->capacity || n++ >= t->n_queued)
+        return "the queue is longer than its count";
+      f = &t->flows[i];
+      if (f->kind != LC_FLOW_OWNED || (f->flags & LC_FLOW_QUEUED) == 0)
+        return "an entry in the queue is not marked as queued and owned";
+      if (f->queue_prev != previous)
+        return "the queue's links differ by direction";
+      previous = i;
+    }
+  if (n != t->n_queued || t->queue_tail != previous)
+    return "the queue is shorter than its count";
+  return NULL;
+}
+
+const char *
+lc_flow_table_fault (const LcFlowTable *t)
+{
+  uint32_t n_flows = 0;
+  uint32_t n_owned = 0;
+  uint32_t n_queued = 0;
+
+  for (uint32_t i = 0; i < t->capacity; i++)
+    {
+      const LcFlow *f = &t->flows[i];
+
+      if (f->kind == LC_FLOW_FREE)
+        continue;
+      n_flows++;
+      n_owned += f->kind == LC_FLOW_OWNED;
+      n_queued += (f->flags & LC_FLOW_QUEUED) != 0;
+      if (lc_flow_table_find (t, &f->key, f->hash) != f)
+        return "an entry is not found by its key";
+    }
+  if (n_flows != t->n_flows || n_owned != t->n_owned || n_queued != t->n_queued)
+    return "a count differs from the entries";
+  return lc_flow_table__queue_fault (t);
+}
--- a/src/core/flow/lc-flow-table.h
+++ b/src/core/flow/lc-flow-table.h
@@ -136,6 +136,10 @@
 
   size_t lc_flow_table_bytes (const LcFlowTable *table);
 
+  /* For tests: what is wrong with the queue of registrations, the index or the counts, or NULL.
+   * Looks at every entry. */
+  const char *lc_flow_table_fault (const LcFlowTable *table);
+
 #ifdef __cplusplus
 }
 #endif
--- a/tests/flow/prop-flow.cc
+++ b/tests/flow/prop-flow.cc
@@ -7,6 +7,7 @@
 #include <rapidcheck.h>
 
 #include <cstdio>
+#include <cstdlib>
 #include <string>
 #include <vector>
 
@@ -78,6 +79,15 @@
                     rc::gen::elementOf (std::vector<uint32_t>{ 0, 0, 20 })));
 }
 
+/* TRACE_FLOW=37 prints where that flow's packets and messages went. */
+uint32_t
+traced_flow ()
+{
+  const char *value = std::getenv ("TRACE_FLOW");
+
+  return value != nullptr ? static_cast<uint32_t> (std::strtoul (value, nullptr, 10)) : 0;
+}
+
 LcFlowWorldDesc
 describe (const Weather &w)
 {
@@ -97,6 +107,8 @@
   desc.hand_over_us = 6 * LC_US_PER_S;
   desc.duplicate_permille = 300;
   desc.is_udp = w.is_udp;
+  desc.checks_tables = true;
+  desc.trace_flow = traced_flow ();
   return desc;
 }
 
@@ -133,7 +145,8 @@
 holds (const Outcome &o)
 {
   return o.counts.broken == o.counts.doomed && o.counts.second_owners == 0 &&
-         o.counts.misdelivered == 0 && o.counts.late_accepts == 0 && o.counts.endless == 0;
+         o.counts.table_faults == 0 && o.counts.misdelivered == 0 && o.counts.late_accepts == 0 &&
+         o.counts.endless == 0;
 }
 
 void
