An agent's crash: what it owns is no longer written over by a packet for an earlier process

Cause, by the trace of flow 69 at 24.945 s: a copy of a first packet came for the process that had had the address before, was not looked up, ended its walk there, and the mark of a pending flow was written over the entry that the agent owned and that stood in the queue: "owned (flags c) -> pending (flags 0)". The same entry could be assigned anew where that walk named the agent itself. Ruled out: the table (its functions keep the links; the checks find no fault before that packet), views, messages. Mend: at the end of a walk an owner delivers, whoever the packet was for; a mark is not written over an owner or a live pointer; an agent that is asked by itself looks the flow up first; an entry that changes its kind leaves the queue and the counts first. The same elsewhere: lc_flow_agent__take, __expect and __mark all cleared flags of whatever entry they were given; they share lc_flow_agent__become now.

--- a/src/core/flow/lc-flow-agent-packet.c
+++ b/src/core/flow/lc-flow-agent-packet.c
@@ -191,6 +191,19 @@
   return action;
 }
 
+/* The entry is of this kind from now on, and nothing of what it was before holds.  One that was
+ * owned leaves the queue of registrations and the counts first: left in the queue with its mark
+ * gone, it breaks the queue's links, and the next flush reads outside the table. */
+static void
+lc_flow_agent__become (LcFlowAgent *a, LcFlow *f, LcFlowKind kind)
+{
+  if (f->kind == LC_FLOW_OWNED)
+    lc_flow_pointers_disown (a, f);
+  lc_flow_agent__end_request (a, f);
+  lc_flow_table_set_kind (&a->table, f, kind);
+  f->flags = 0;
+}
+
 LcFlowAction
 lc_flow_agent__take (LcFlowAgent *a, LcFlow *f, const LcPacket *packet, int64_t now_us)
 {
@@ -200,9 +213,7 @@
     return lc_flow_agent__drop (a, LC_DROP_NO_MEMORY);
   if (packet->may_open)
     lc_cold_limit_note (&a->firsts, now_us);
-  lc_flow_agent__end_request (a, f);
-  lc_flow_table_set_kind (&a->table, f, LC_FLOW_OWNED);
-  f->flags = 0;
+  lc_flow_agent__become (a, f, LC_FLOW_OWNED);
   f->began_ms = 0;
   f->data_end = 0;
   f->endpoint_id = 0;
@@ -228,9 +239,7 @@
     f = lc_flow_table_add (&a->table, &packet->key, lc_flow_key_hash (&packet->key));
   if (f == NULL)
     return false;
-  lc_flow_agent__end_request (a, f);
-  lc_flow_table_set_kind (&a->table, f, LC_FLOW_POINTER);
-  f->flags = 0;
+  lc_flow_agent__become (a, f, LC_FLOW_POINTER);
   f->endpoint_id = owner->id;
   f->instance = owner->instance;
   f->ipv4 = owner->ipv4;
@@ -270,8 +279,12 @@
 
 /* === private: carrying out the other answers ================================================ */
 
+static LcFlowAction lc_flow_agent__carry_out (
+    LcFlowAgent *a, LcEnvelope *e, const LcPacket *packet, int64_t now_us, bool may_renew);
+
 /* Leaves a mark that an assigner is being asked; an older set's mark stays while its assigner
- * lives. */
+ * lives, and so does what is known of the flow's owner: a packet for another process at this
+ * address may end its walk here. */
 static void
 lc_flow_agent__mark (
     LcFlowAgent *a, LcFlow *f, const LcEnvelope *e, const LcPacket *packet, int64_t now_us)
@@ -279,14 +292,15 @@
   const LcCandidate *assigner = &e->candidates[e->assigner];
   LcSteerKnown known = lc_flow_agent__known (a, f);
   bool is_other = known.kind == LC_FLOW_PENDING && known.is_live && known.rank < e->set_rank;
+  bool is_known =
+      known.kind == LC_FLOW_OWNED || (known.kind == LC_FLOW_POINTER && known.is_live &&
+                                      known.is_confirmed && !lc_steer_is_stray (e, &known.other));
 
   if (f == NULL)
     f = lc_flow_table_add (&a->table, &packet->key, lc_flow_key_hash (&packet->key));
-  if (f == NULL || is_other)
+  if (f == NULL || is_other || is_known)
     return;
-  lc_flow_agent__end_request (a, f);
-  lc_flow_table_set_kind (&a->table, f, LC_FLOW_PENDING);
-  f->flags = 0;
+  lc_flow_agent__become (a, f, LC_FLOW_PENDING);
   f->endpoint_id = assigner->id;
   f->instance = assigner->instance;
   f->ipv4 = assigner->ipv4;
@@ -295,6 +309,17 @@
   lc_flow_table_set_deadline (&a->table, f, now_us + LC_FLOW_PENDING_US);
 }
 
+/* The assigner is this agent itself.  The packet may have come for another process that had this
+ * address, so that the table has not been asked yet: it is decided on as if it had come back. */
+static LcFlowAction
+lc_flow_agent__ask_self (LcFlowAgent *a, LcEnvelope *e, const LcPacket *packet, int64_t now_us)
+{
+  e->mode = LC_MODE_ASSIGN;
+  e->target_id = a->desc.self.id;
+  e->target_instance = a->desc.self.instance;
+  return lc_flow_agent__carry_out (a, e, packet, now_us, false);
+}
+
 static LcFlowAction
 lc_flow_agent__defer (LcFlowAgent *a,
                       LcEnvelope *e,
@@ -306,9 +331,7 @@
   LcCandidate assigner = *to;
 
   if (lc_candidate_equal (&assigner, &a->desc.self))
-    return lc_flow_agent__assign (
-        a, e, lc_flow_table_find (&a->table, &packet->key, lc_flow_key_hash (&packet->key)), packet,
-        now_us);
+    return lc_flow_agent__ask_self (a, e, packet, now_us);
   if (lc_flow_agent__is_gone (a, e, &assigner))
     {
       if (!may_renew || e->revision >= a->view->revision || !lc_flow_list_renew (a, e, packet))
@@ -382,8 +405,8 @@
   a->counts.broken_total++;
 }
 
-LcFlowAction
-lc_flow_agent__decide (
+static LcFlowAction
+lc_flow_agent__carry_out (
     LcFlowAgent *a, LcEnvelope *e, const LcPacket *packet, int64_t now_us, bool may_renew)
 {
   LcFlow *f = lc_flow_table_find (&a->table, &packet->key, lc_flow_key_hash (&packet->key));
@@ -391,8 +414,6 @@
   LcSteerKnown known = lc_flow_agent__known (a, f);
   LcSteer s;
 
-  if (!may_renew && !lc_candidate_equal (&e->candidates[0], &self.agent))
-    return lc_flow_agent__send (a, e, LC_MODE_WALK, &e->candidates[0]); /* renewed just now */
   lc_flow_agent__note_broken (a, f, &known, e);
   lc_flow_agent__follow_mark (&known, e);
   lc_flow_list_extend (a, e, packet, now_us);
@@ -408,6 +429,10 @@
     case LC_STEER_NEXT:
       return lc_flow_agent__walk_on (a, e, f, packet, &s, now_us, may_renew);
     case LC_STEER_DEFER:
+      /* A packet for an earlier process at this address is looked up at the end of its walk: the
+       * assigner would give the flow to a second owner. */
+      if (known.kind == LC_FLOW_OWNED && self.service_id == e->service_id)
+        return lc_flow_agent__deliver (a, f, packet, false, now_us);
       /* The end of a walk is a station of it too: the mark must stand here as well. */
       if (e->mode == LC_MODE_WALK && self.service_id == e->service_id)
         lc_flow_agent__mark (a, f, e, packet, now_us);
@@ -430,3 +455,12 @@
       return lc_flow_agent__drop (a, s.reason);
     }
 }
+
+LcFlowAction
+lc_flow_agent__decide (
+    LcFlowAgent *a, LcEnvelope *e, const LcPacket *packet, int64_t now_us, bool may_renew)
+{
+  if (!may_renew && !lc_candidate_equal (&e->candidates[0], &a->desc.self))
+    return lc_flow_agent__send (a, e, LC_MODE_WALK, &e->candidates[0]); /* renewed just now */
+  return lc_flow_agent__carry_out (a, e, packet, now_us, may_renew);
+}
