Second owner of a flow: a walk that gets an older assigner passes the newer one again

Symptom: two agents own one flow (flow-second-owner; 13 of the 16 orders in test-flow-orders). Cause, from the traces: stations keep marks that name the assigner. Mend: the walk is extended before a mark is followed; a walk that is given an older assigner goes back to the one that it passed, finds what was assigned there or leaves the older mark, and walks on. Ranks only fall, so it ends.

--- a/src/core/flow/lc-flow-agent-packet.c
+++ b/src/core/flow/lc-flow-agent-packet.c
@@ -405,6 +405,43 @@
   a->counts.broken_total++;
 }
 
+/* Whether the walk has just been given an older assigner after it passed the one that it named
+ * until now.  That one, and the marks on the way, still say that it assigns the flow: another copy
+ * of the first packet would be assigned there, and the flow get a second owner. */
+static bool
+lc_flow_agent__must_walk_back (const LcFlowAgent *a,
+                               const LcEnvelope *e,
+                               const LcPacket *packet,
+                               const LcCandidate *passed,
+                               const LcSteer *s)
+{
+  uint8_t i = 0;
+
+  if (e->mode != LC_MODE_WALK || !packet->may_open ||
+      lc_candidate_equal (passed, &e->candidates[e->assigner]) ||
+      (s->kind != LC_STEER_NEXT && s->kind != LC_STEER_DEFER && s->kind != LC_STEER_ASSIGN))
+    return false;
+  while (i < e->n && !lc_candidate_equal (&e->candidates[i], passed))
+    i++;
+  return i < e->hop && !lc_flow_agent__is_gone (a, e, passed);
+}
+
+/* Back to the assigner that the walk named before, to leave the older one's mark there or to find
+ * what it has assigned meanwhile.  From there the walk goes on as usual. */
+static LcFlowAction
+lc_flow_agent__walk_back (LcFlowAgent *a,
+                          LcEnvelope *e,
+                          LcFlow *f,
+                          const LcPacket *packet,
+                          const LcCandidate *to,
+                          int64_t now_us)
+{
+  lc_flow_agent__mark (a, f, e, packet, now_us);
+  for (e->hop = 0; !lc_candidate_equal (&e->candidates[e->hop], to);)
+    e->hop++;
+  return lc_flow_agent__send (a, e, LC_MODE_WALK, to);
+}
+
 static LcFlowAction
 lc_flow_agent__carry_out (
     LcFlowAgent *a, LcEnvelope *e, const LcPacket *packet, int64_t now_us, bool may_renew)
@@ -412,12 +449,15 @@
   LcFlow *f = lc_flow_table_find (&a->table, &packet->key, lc_flow_key_hash (&packet->key));
   LcSteerSelf self = lc_flow_agent__self (a);
   LcSteerKnown known = lc_flow_agent__known (a, f);
+  LcCandidate assigner = e->candidates[e->assigner];
   LcSteer s;
 
   lc_flow_agent__note_broken (a, f, &known, e);
-  lc_flow_agent__follow_mark (&known, e);
   lc_flow_list_extend (a, e, packet, now_us);
+  lc_flow_agent__follow_mark (&known, e);
   s = lc_steer (&self, e, packet, &known);
+  if (lc_flow_agent__must_walk_back (a, e, packet, &assigner, &s))
+    return lc_flow_agent__walk_back (a, e, f, packet, &assigner, now_us);
   switch (s.kind)
     {
     case LC_STEER_DELIVER:
