--- a/tests/flow/test-flow-owner.c
+++ b/tests/flow/test-flow-owner.c
@@ -49,10 +49,10 @@
 }
 
 static void
-start (World *w)
+start (World *w, bool is_returning)
 {
   LcViewOp service = { .revision = 1, .kind = LC_VIEW_SERVICE, .service = { .id = SERVICE } };
-  LcFlowAgentDesc desc = { .self = THIS, .service_id = SERVICE };
+  LcFlowAgentDesc desc = { .self = THIS, .service_id = SERVICE, .is_returning = is_returning };
 
   lc_view_init (&w->view);
   ck_assert_int_eq (lc_view_apply (&w->view, &service, NULL), 0);
@@ -135,7 +135,7 @@
   LcFlowAction action;
   World w;
 
-  start (&w);
+  start (&w, false);
   own_flow (&w);
   e.service_id = CASES[_i].service;
   e.candidates[1] = ELSEWHERE;
@@ -153,6 +153,31 @@
 }
 END_TEST
 
+START_TEST (test_ended_flow_goes_elsewhere)
+{
+  LcEnvelope e = envelope_for (&THIS, LC_MODE_WALK);
+  LcPacket last = packet_of (false);
+  LcPacket again = packet_of (true);
+  LcFlowAction action;
+  World w;
+
+  start (&w, true);
+  own_flow (&w);
+  last.is_last = true;
+  ck_assert_int_eq (lc_flow_agent_packet (&w.agent, &e, &last, 3).kind, LC_FLOW_ACTION_DELIVER);
+  lc_flow_agent_leave (&w.agent);
+  e = envelope_for (&THIS, LC_MODE_WALK);
+  action = lc_flow_agent_packet (&w.agent, &e, &again, 4);
+  ck_assert_int_eq (action.kind, LC_FLOW_ACTION_SEND);
+  ck_assert_uint_eq (e.target_id, OTHER);
+  ck_assert_msg (lc_flow_table_fault (&w.agent.table) == NULL, "%s",
+                 lc_flow_table_fault (&w.agent.table));
+  ck_assert_uint_eq (lc_flow_agent_open_flows (&w.agent), 0);
+  lc_flow_agent_tick (&w.agent, LC_US_PER_S);
+  stop (&w);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -160,6 +185,7 @@
   TCase *tcase = tcase_create ("owner");
 
   tcase_add_loop_test (tcase, test_owned_flow_stays, 0, (int)G_N_ELEMENTS (CASES));
+  tcase_add_test (tcase, test_ended_flow_goes_elsewhere);
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
 }
