Requests whose claims are lost are refused at once, with the time to come back

Cause: a home whose former set was lost knows that it can't answer for a key until 65 s after the loss, yet its reply was "not ready", the same as before its first read; the owner asked again each 80 ms up to the deadline. What an owner could know was not in the reply. Mend: lc_claim_era_lost_for_us; a home's reply tells for how long; an owner refuses as "unclaimed" when that goes beyond the deadline, with that time as Retry-After, and waits as before when it does not. Outcome stays "unknown" for a caller's key: nobody can say "not run".

--- a/proto/lc-request.pb-c.c
+++ b/proto/lc-request.pb-c.c
@@ -1752,7 +1752,7 @@
   (ProtobufCMessageInit) lc__request__claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__request__claim_answer__field_descriptors[9] =
+static const ProtobufCFieldDescriptor lc__request__claim_answer__field_descriptors[10] =
 {
   {
     "key_hi",
@@ -1862,6 +1862,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lost_for_us",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Request__ClaimAnswer, lost_for_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__request__claim_answer__field_indices_by_name[] = {
   3,   /* field[3] = era */
@@ -1871,13 +1883,14 @@
   5,   /* field[5] = home_instance */
   0,   /* field[0] = key_hi */
   1,   /* field[1] = key_lo */
+  9,   /* field[9] = lost_for_us */
   6,   /* field[6] = result */
   2,   /* field[2] = sequence */
 };
 static const ProtobufCIntRange lc__request__claim_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor lc__request__claim_answer__descriptor =
 {
@@ -1887,7 +1900,7 @@
   "Lc__Request__ClaimAnswer",
   "lc.request",
   sizeof(Lc__Request__ClaimAnswer),
-  9,
+  10,
   lc__request__claim_answer__field_descriptors,
   lc__request__claim_answer__field_indices_by_name,
   1,  lc__request__claim_answer__number_ranges,
--- a/proto/lc-request.pb-c.h
+++ b/proto/lc-request.pb-c.h
@@ -255,10 +255,14 @@
   uint32_t result;
   uint32_t holder_id;
   uint64_t holder_instance;
+  /*
+   * NOT_READY: not before so long, as nobody is left to tell; 0: soon
+   */
+  uint64_t lost_for_us;
 };
 #define LC__REQUEST__CLAIM_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__request__claim_answer__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Lc__Request__ClaimRelease
--- a/src/agent/lc-agent-claims.c
+++ b/src/agent/lc-agent-claims.c
@@ -1,5 +1,8 @@
 #include "lc-agent-request-private.h"
 
+/* What another agent may say at most: longer than any claim is waited for (lc-claim-era.h). */
+#define LC_CLAIM_LOST_MAX_US ((uint64_t)(3600 * LC_US_PER_S))
+
 /* === private: claims in ===================================================================== */
 
 void
@@ -28,6 +31,9 @@
   answer.home_instance = plane->desc.instance;
   answer.holder_id = hold.owner.id;
   answer.holder_instance = hold.owner.instance;
+  if (answer.result == LC_CLAIM_NOT_READY)
+    answer.lost_for_us =
+        (uint64_t)lc_claim_era_lost_for_us (&plane->core.era, key, lc_clock_now_us ());
   (void)lc_link_send (link, LC_FRAME_CLAIM_ANSWER, &answer.base);
   lc__request__claim__free_unpacked (claim, NULL);
 }
@@ -49,7 +55,8 @@
                           .sequence = answer->sequence,
                           .era = answer->era,
                           .result = (LcClaimResult)answer->result,
-                          .holder = { answer->holder_id, answer->holder_instance } };
+                          .holder = { answer->holder_id, answer->holder_instance },
+                          .lost_for_us = (int64_t)MIN (answer->lost_for_us, LC_CLAIM_LOST_MAX_US) };
   lc__request__claim_answer__free_unpacked (answer, NULL);
   lc_request_agent_claim_reply (&plane->core, &reply, lc_clock_now_us ());
 }
--- a/src/core/request/lc-claim-era.c
+++ b/src/core/request/lc-claim-era.c
@@ -4,6 +4,9 @@
 
 #define LC_CLAIM_ERA_LOST_AFTER_US (65 * LC_US_PER_S)
 
+/* Members that live are asked every 100 ms: a step that has lasted so long has heard them. */
+#define LC_CLAIM_ERA_ASKED_US (500 * LC_US_PER_MS)
+
 /* === private: sets ========================================================================== */
 
 static void
@@ -450,3 +453,16 @@
   target = lc_claim_era__target (era);
   return target == era->sets->len - 1 && lc_claim_era__is_key_covered (era, target, key);
 }
+
+int64_t
+lc_claim_era_lost_for_us (const LcClaimEra *era, LcRequestKey key, int64_t now_us)
+{
+  guint target = lc_claim_era__target (era);
+  int64_t end_us;
+
+  if (target >= era->sets->len || lc_claim_era_knows (era, key) ||
+      now_us - era->step_since_us < LC_CLAIM_ERA_ASKED_US || lc_claim_era__may_answer (era, target))
+    return 0;
+  end_us = lc_claim_era__unanswered_since_us (era, target) + era->desc.lost_after_us;
+  return MAX (end_us - now_us, 0);
+}
--- a/src/core/request/lc-claim-era.h
+++ b/src/core/request/lc-claim-era.h
@@ -118,6 +118,10 @@
   /* Whether this agent may answer for `key` in the present era. */
   bool lc_claim_era_knows (const LcClaimEra *era, LcRequestKey key);
 
+  /* For how long it can't, because nobody is left who could tell what was claimed, in us.  0: it
+   * may answer now, or as soon as somebody who lives has told. */
+  int64_t lc_claim_era_lost_for_us (const LcClaimEra *era, LcRequestKey key, int64_t now_us);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/core/request/lc-request-agent-claim.c
+++ b/src/core/request/lc-request-agent-claim.c
@@ -39,6 +39,19 @@
   action->claim.keep_us = lc_agent__claim_keep_us (agent, run, now_us);
 }
 
+/* Nobody can tell whether the key has run until the request's deadline has passed: it is refused
+ * now rather than held up to that.  Returns whether it was. */
+static bool
+lc_agent__refuse_lost (LcRequestAgent *agent, LcRun *run, int64_t lost_for_us, int64_t now_us)
+{
+  if (lost_for_us == 0 || now_us + lost_for_us <= run->deadline_us)
+    return false;
+  run->retry_after_us = lost_for_us;
+  agent->stats.unclaimed_total++;
+  lc_agent__abandon_plain (agent, run, LC_REFUSE_UNCLAIMED);
+  return true;
+}
+
 /* Asks the homes whose turn it is, until one must be waited for or the claim is decided. */
 static void
 lc_agent__ask_homes (LcRequestAgent *agent, LcRun *run, int64_t now_us)
@@ -57,6 +70,9 @@
             lc_agent__claim_there (agent, run, homes[i], now_us);
             continue;
           }
+        if (lc_agent__refuse_lost (
+                agent, run, lc_claim_era_lost_for_us (&agent->era, run->key, now_us), now_us))
+          return;
         verdict = lc_agent__claim_here (agent, run, &holder, now_us);
         if (verdict != LC_CLAIM_TRY_PENDING)
           {
@@ -149,6 +165,9 @@
 
   if (run == NULL || run->state != LC_RUN_STATE_CLAIMING || reply->sequence != run->claim.sequence)
     return;
+  if (reply->result == LC_CLAIM_NOT_READY &&
+      lc_agent__refuse_lost (agent, run, reply->lost_for_us, now_us))
+    return;
   verdict =
       lc_claim_try_answer (&run->claim, reply->home, reply->sequence, reply->era, reply->result);
   lc_agent__verdict (agent, run, verdict, reply->holder, now_us);
--- a/src/core/request/lc-request-agent-private.h
+++ b/src/core/request/lc-request-agent-private.h
@@ -47,7 +47,8 @@
   int64_t deadline_us;
   int64_t again_us; /* claim: next round, or when the present one has taken too long */
   int64_t started_us;
-  int64_t expires_us; /* of the record */
+  int64_t expires_us;     /* of the record */
+  int64_t retry_after_us; /* told when it is refused; 0: by the load of the backend server */
   LcClaimTry claim;
   GArray *asks;          /* LcAsk */
   LcRefuseReason reason; /* UNKNOWN */
--- a/src/core/request/lc-request-agent-run.c
+++ b/src/core/request/lc-request-agent-run.c
@@ -169,8 +169,13 @@
 
   for (guint i = 0; i < run->asks->len; i++)
     {
+      LcAgentAction *action;
+
       lc_agent__refuse (agent, &g_array_index (run->asks, LcAsk, i), reason, is_checked);
-      g_array_index (agent->actions, LcAgentAction, agent->actions->len - 1).refuse.owner = owner;
+      action = &g_array_index (agent->actions, LcAgentAction, agent->actions->len - 1);
+      action->refuse.owner = owner;
+      if (run->retry_after_us > 0)
+        action->refuse.retry_after_us = run->retry_after_us;
     }
   if (lc_agent__is_keyed (run))
     lc_agent__release (agent, run);
--- a/src/core/request/lc-request-agent.h
+++ b/src/core/request/lc-request-agent.h
@@ -209,6 +209,7 @@
     LcRevision era;
     LcClaimResult result;
     LcMemberRef holder;
+    int64_t lost_for_us; /* NOT_READY: and not before so long; 0: soon, or not known */
   } LcClaimReply;
   void
   lc_request_agent_claim_reply (LcRequestAgent *agent, const LcClaimReply *reply, int64_t now_us);
--- a/tests/request/fake-world.cc
+++ b/tests/request/fake-world.cc
@@ -186,6 +186,7 @@
           reply.sequence = claim.sequence;
           reply.era = claim.era;
           reply.holder = hold.owner;
+          reply.lost_for_us = lc_claim_era_lost_for_us (&agents[home].agent.era, claim.key, now_us);
           back.to_agent = self;
           back.deliver = [this, reply, self] {
             lc_request_agent_claim_reply (&agents[self].agent, &reply, now_us);
