A walk that goes back for an older assigner keeps its place, and may take 64 hops

Change: after the way back the walk goes on behind the station that sent it; hops 64 instead of 32, and 16 instead of 8 for a returned first packet, so that four endpoints see it as before. What is sent back out of turn is not assigned there.

--- a/src/core/flow/lc-envelope.h
+++ b/src/core/flow/lc-envelope.h
@@ -39,7 +39,10 @@
     LC_ENVELOPE_CANDIDATE_BYTES = 18,
     LC_ENVELOPE_MAX_BYTES =
         LC_ENVELOPE_FIXED_BYTES + (LC_CANDIDATES_MAX + 2) * LC_ENVELOPE_CANDIDATE_BYTES,
-    LC_ENVELOPE_HOPS = 32, /* forwards of one packet at most */
+    /* Forwards of one packet at most: four walks over the longest list.  A walk begins anew when a
+     * view newer than its list is met, and goes back once for each older assigner that it is given.
+     */
+    LC_ENVELOPE_HOPS = 64,
   };
 
   typedef enum
--- a/src/core/flow/lc-flow-agent-packet.c
+++ b/src/core/flow/lc-flow-agent-packet.c
@@ -419,6 +419,7 @@
 
   if (e->mode != LC_MODE_WALK || !packet->may_open ||
       lc_candidate_equal (passed, &e->candidates[e->assigner]) ||
+      lc_candidate_equal (passed, &a->desc.self) ||
       (s->kind != LC_STEER_NEXT && s->kind != LC_STEER_DEFER && s->kind != LC_STEER_ASSIGN))
     return false;
   while (i < e->n && !lc_candidate_equal (&e->candidates[i], passed))
@@ -427,7 +428,8 @@
 }
 
 /* Back to the assigner that the walk named before, to leave the older one's mark there or to find
- * what it has assigned meanwhile.  From there the walk goes on as usual. */
+ * what it has assigned meanwhile; from there the walk goes on behind this station.  Walks that find
+ * the newer assigner's marks in between ask it, and are sent on by the older one's. */
 static LcFlowAction
 lc_flow_agent__walk_back (LcFlowAgent *a,
                           LcEnvelope *e,
@@ -437,8 +439,6 @@
                           int64_t now_us)
 {
   lc_flow_agent__mark (a, f, e, packet, now_us);
-  for (e->hop = 0; !lc_candidate_equal (&e->candidates[e->hop], to);)
-    e->hop++;
   return lc_flow_agent__send (a, e, LC_MODE_WALK, to);
 }
 
@@ -456,6 +456,9 @@
   lc_flow_list_extend (a, e, packet, now_us);
   lc_flow_agent__follow_mark (&known, e);
   s = lc_steer (&self, e, packet, &known);
+  if (s.kind == LC_STEER_ASSIGN && e->mode == LC_MODE_WALK &&
+      !lc_candidate_equal (&e->candidates[e->assigner], &self.agent))
+    s = (LcSteer){ .kind = LC_STEER_DEFER, .to = e->candidates[e->assigner] }; /* sent back here */
   if (lc_flow_agent__must_walk_back (a, e, packet, &assigner, &s))
     return lc_flow_agent__walk_back (a, e, f, packet, &assigner, now_us);
   switch (s.kind)
--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -10,7 +10,7 @@
 {
   LC_FLOW_COPY_MS = 200,        /* after which a caller sends a first packet again */
   LC_FLOW_SECOND_COPY_MS = 600, /* and once more */
-  LC_FLOW_RETURN_HOPS = 8,      /* hops that a returned first packet costs: four endpoints see it */
+  LC_FLOW_RETURN_HOPS = 16,     /* hops that a returned first packet costs: four endpoints see it */
 };
 
 /* === private: answers ======================================================================= */
