Claims that those who live wait for themselves are known to be lost, too

Cause, from a line a second in each agent (a trial): agents 2, 3, 5, 6 and 7 each had "whole 0, sources 0" for up to 64 s; the view showed members of the set before alive (may answer 1), but these knew nothing themselves and waited for lost sets as well. Who waits for one that waits did not know that the wait is long. Mend: a member that is read tells for how long it can't know more (lost_for_us of ClaimReadAnswer); who reads it passes the earliest on. One that has said nothing, or may go on soon, is waited for as before. Ruled out by the code: circles (each waits for one that has come less far).

--- a/proto/lc-request.pb-c.c
+++ b/proto/lc-request.pb-c.c
@@ -2215,7 +2215,7 @@
   (ProtobufCMessageInit) lc__request__claim_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__request__claim_read_answer__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lc__request__claim_read_answer__field_descriptors[9] =
 {
   {
     "service_id",
@@ -2313,10 +2313,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lost_for_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Request__ClaimReadAnswer, lost_for_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__request__claim_read_answer__field_indices_by_name[] = {
   1,   /* field[1] = era */
   6,   /* field[6] = last */
+  8,   /* field[8] = lost_for_us */
   2,   /* field[2] = member */
   3,   /* field[3] = member_era */
   4,   /* field[4] = member_whole */
@@ -2327,7 +2340,7 @@
 static const ProtobufCIntRange lc__request__claim_read_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor lc__request__claim_read_answer__descriptor =
 {
@@ -2337,7 +2350,7 @@
   "Lc__Request__ClaimReadAnswer",
   "lc.request",
   sizeof(Lc__Request__ClaimReadAnswer),
-  8,
+  9,
   lc__request__claim_read_answer__field_descriptors,
   lc__request__claim_read_answer__field_indices_by_name,
   1,  lc__request__claim_read_answer__number_ranges,
--- a/proto/lc-request.pb-c.h
+++ b/proto/lc-request.pb-c.h
@@ -349,10 +349,14 @@
   protobuf_c_boolean last;
   size_t n_records;
   Lc__Request__ClaimRecord **records;
+  /*
+   * it can't know more before that, as nobody is left to tell it; 0: soon
+   */
+  uint64_t lost_for_us;
 };
 #define LC__REQUEST__CLAIM_READ_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__request__claim_read_answer__descriptor) \
-    , 0, 0, NULL, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, NULL, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /* Lc__Request__Header methods */
--- a/src/agent/lc-agent-claims.c
+++ b/src/agent/lc-agent-claims.c
@@ -138,6 +138,8 @@
   reply.message.member_era = source.era;
   reply.message.member_whole = source.whole;
   reply.message.member_whole_from = source.whole_from;
+  reply.message.lost_for_us =
+      (uint64_t)lc_claim_era_stalled_for_us (&plane->core.era, reply.now_us);
   reply.records = g_new (Lc__Request__ClaimRecord, LC_REQUEST_READ_RECORDS);
   reply.list = g_new (Lc__Request__ClaimRecord *, LC_REQUEST_READ_RECORDS);
   reply.message.records = reply.list;
@@ -201,7 +203,8 @@
                                answer->era,
                                answer->member_era,
                                answer->member_whole,
-                               answer->member_whole_from };
+                               answer->member_whole_from,
+                               (int64_t)MIN (answer->lost_for_us, LC_CLAIM_LOST_MAX_US) };
 
       lc_request_agent_read_done (&plane->core, &source, now_us);
     }
--- a/src/core/request/lc-claim-era.c
+++ b/src/core/request/lc-claim-era.c
@@ -83,6 +83,7 @@
 {
   g_array_set_size (era->sources, 0);
   g_array_set_size (era->before, 0);
+  g_array_set_size (era->stalled, 0);
   era->step_since_us = now_us;
 }
 
@@ -179,6 +180,7 @@
   era->alive = g_array_new (FALSE, TRUE, sizeof (LcMemberRef));
   era->sources = g_array_new (FALSE, TRUE, sizeof (LcMemberRef));
   era->before = g_array_new (FALSE, TRUE, sizeof (gboolean));
+  era->stalled = g_array_new (FALSE, TRUE, sizeof (LcClaimStalled));
 }
 
 void
@@ -188,6 +190,7 @@
   g_array_free (era->alive, TRUE);
   g_array_free (era->sources, TRUE);
   g_array_free (era->before, TRUE);
+  g_array_free (era->stalled, TRUE);
   memset (era, 0, sizeof *era);
 }
 
@@ -351,6 +354,23 @@
          source->whole_from != 0 && lc_claim_era__has (set, source->member);
 }
 
+/* What a member that lives said last of how long it can't know more. */
+static void
+lc_claim_era__note_stalled (LcClaimEra *era, const LcClaimSource *source, int64_t now_us)
+{
+  LcClaimStalled stalled = { source->member, now_us + source->lost_for_us };
+
+  for (guint i = 0; i < era->stalled->len; i++)
+    if (lc_member_ref_equal (g_array_index (era->stalled, LcClaimStalled, i).member,
+                             source->member))
+      {
+        g_array_remove_index_fast (era->stalled, i);
+        break;
+      }
+  if (source->lost_for_us > 0)
+    g_array_append_val (era->stalled, stalled);
+}
+
 void
 lc_claim_era_source (LcClaimEra *era, const LcClaimSource *source, int64_t now_us)
 {
@@ -364,6 +384,7 @@
   set = lc_claim_era__set (era, target);
   if (source->asked != set->since)
     return; /* a late answer to an earlier step: it may lack records of this one */
+  lc_claim_era__note_stalled (era, source, now_us);
   former = lc_claim_era__former (era, target);
   before =
       former != NULL && source->era >= set->since && lc_claim_era__was_whole_at (source, former);
@@ -454,15 +475,52 @@
   return target == era->sets->len - 1 && lc_claim_era__is_key_covered (era, target, key);
 }
 
+/* Until when a member can't know more; 0: it has not said so. */
+static int64_t
+lc_claim_era__stalled_until_us (const LcClaimEra *era, LcMemberRef member)
+{
+  for (guint i = 0; i < era->stalled->len; i++)
+    if (lc_member_ref_equal (g_array_index (era->stalled, LcClaimStalled, i).member, member))
+      return g_array_index (era->stalled, LcClaimStalled, i).until_us;
+  return 0;
+}
+
+/* The members of the set before that live and have not told, and wait for lost ones themselves: the
+ * first of them that may go on.  Each of them has come less far than this agent, so that none waits
+ * for another in a circle. */
+static int64_t
+lc_claim_era__first_to_go_on_us (const LcClaimEra *era, guint target)
+{
+  const LcClaimSet *former = lc_claim_era__former (era, target);
+  int64_t first_us = INT64_MAX;
+
+  for (guint i = 0; former != NULL && i < era->alive->len; i++)
+    {
+      LcMemberRef member = g_array_index (era->alive, LcMemberRef, i);
+
+      if (lc_claim_era__has (former, member) && !lc_claim_era__is_source (era, member) &&
+          !lc_member_ref_equal (member, era->desc.self))
+        first_us = MIN (first_us, lc_claim_era__stalled_until_us (era, member));
+    }
+  return first_us;
+}
+
 int64_t
-lc_claim_era_lost_for_us (const LcClaimEra *era, LcRequestKey key, int64_t now_us)
+lc_claim_era_stalled_for_us (const LcClaimEra *era, int64_t now_us)
 {
   guint target = lc_claim_era__target (era);
-  int64_t end_us;
+  int64_t until_us;
 
-  if (target >= era->sets->len || lc_claim_era_knows (era, key) ||
-      now_us - era->step_since_us < LC_CLAIM_ERA_ASKED_US || lc_claim_era__may_answer (era, target))
+  if (target >= era->sets->len || now_us - era->step_since_us < LC_CLAIM_ERA_ASKED_US)
     return 0;
-  end_us = lc_claim_era__unanswered_since_us (era, target) + era->desc.lost_after_us;
-  return MAX (end_us - now_us, 0);
+  until_us = lc_claim_era__may_answer (era, target)
+                 ? lc_claim_era__first_to_go_on_us (era, target)
+                 : lc_claim_era__unanswered_since_us (era, target) + era->desc.lost_after_us;
+  return MAX (until_us - now_us, 0);
+}
+
+int64_t
+lc_claim_era_lost_for_us (const LcClaimEra *era, LcRequestKey key, int64_t now_us)
+{
+  return lc_claim_era_knows (era, key) ? 0 : lc_claim_era_stalled_for_us (era, now_us);
 }
--- a/src/core/request/lc-claim-era.h
+++ b/src/core/request/lc-claim-era.h
@@ -62,6 +62,12 @@
     int64_t lost_us; /* when the view last lost one of them; 0: it shows all */
   } LcClaimSet;
 
+  typedef struct
+  {
+    LcMemberRef member;
+    int64_t until_us;
+  } LcClaimStalled;
+
   typedef struct
   {
     LcClaimEraDesc desc;
@@ -70,7 +76,8 @@
     LcRevision whole_from; /* and at every era since this one */
     GArray *alive;         /* LcMemberRef of the view that are not lost */
     GArray *sources;       /* LcMemberRef that have answered in the present step */
-    GArray *before; /* gboolean for each: as a member of the set before (else of the era itself) */
+    GArray *stalled; /* LcClaimStalled: members that live and can't tell in the present step */
+    GArray *before;  /* gboolean for each: as a member of the set before (else of the era itself) */
     int64_t step_since_us;
     uint64_t lost_total;
   } LcClaimEra;
@@ -107,6 +114,7 @@
     LcRevision era;        /* it has applied this */
     LcRevision whole;      /* it is whole at this era */
     LcRevision whole_from; /* and was at every one since this */
+    int64_t lost_for_us;   /* it can't know more before that; 0: soon, or not known */
   } LcClaimSource;
 
   /* A member has sent all it knows. */
@@ -118,10 +126,16 @@
   /* Whether this agent may answer for `key` in the present era. */
   bool lc_claim_era_knows (const LcClaimEra *era, LcRequestKey key);
 
-  /* For how long it can't, because nobody is left who could tell what was claimed, in us.  0: it
-   * may answer now, or as soon as somebody who lives has told. */
+  /* For how long it can't, because nobody is left who could tell what was claimed, or those who
+   * are left wait for that themselves, in us.  0: it may answer now, or as soon as somebody has
+   * told.
+   */
   int64_t lc_claim_era_lost_for_us (const LcClaimEra *era, LcRequestKey key, int64_t now_us);
 
+  /* The same of the present step, whatever the key: what a member says of itself when it is read.
+   */
+  int64_t lc_claim_era_stalled_for_us (const LcClaimEra *era, int64_t now_us);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/core/request/lc-request-agent-claim.c
+++ b/src/core/request/lc-request-agent-claim.c
@@ -177,6 +177,7 @@
 lc_request_agent_source (const LcRequestAgent *agent, LcRevision asked, LcClaimSource *source)
 {
   source->asked = asked;
+  source->lost_for_us = 0; /* the caller knows the time */
   source->member = agent->desc.self;
   source->era = lc_claim_era_now (&agent->era);
   source->whole = agent->era.whole;
--- a/tests/request/test-claims-lost.c
+++ b/tests/request/test-claims-lost.c
@@ -176,6 +176,49 @@
 }
 END_TEST
 
+/* Members of the set before that live and wait for lost ones themselves: seed 2006 again, by a line
+ * a second: "whole 0, target 7 of 8, sources 0, step 16220 ms, may answer 1, alive 2 3 6 7", each
+ * of them a member of the set before. */
+START_TEST (test_those_who_live_wait_themselves)
+{
+  static const struct
+  {
+    const char *what;
+    int64_t lost_for_s[4]; /* of members 2 to 5, as they say; -1: it has not answered */
+    int64_t stalled_for_s;
+  } MEMBERS[] = {
+    { "all wait", { 40, 30, 50, 60 }, 30 },
+    { "one may go on soon", { 40, 30, 0, 60 }, 0 },
+    { "one has said nothing", { 40, 30, -1, 60 }, 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (MEMBERS); i++)
+    {
+      int64_t now_us = (LOST_AT_S + 2) * LC_US_PER_S;
+      LcRequestAgent agent;
+      LcView view;
+
+      lose_homes (&agent, &view, false);
+      show (&view, 1, 5, false); /* the first members are seen again */
+      lc_request_agent_view (&agent, lc_view_service (&view, 1), SELF, LOST_AT_S * LC_US_PER_S);
+      for (LcEndpointId k = 0; k < 4; k++)
+        {
+          LcClaimSource source = { .member = { 2 + k, 1002 + k } };
+
+          source.asked = lc_claim_era_target (&agent.era);
+          source.lost_for_us = MEMBERS[i].lost_for_s[k] * LC_US_PER_S;
+          if (source.lost_for_us >= 0)
+            lc_request_agent_read_done (&agent, &source, now_us);
+        }
+      ck_assert_msg (lc_claim_era_stalled_for_us (&agent.era, now_us) ==
+                         MEMBERS[i].stalled_for_s * LC_US_PER_S,
+                     "%s", MEMBERS[i].what);
+      lc_request_agent_finish (&agent);
+      lc_view_finish (&view);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -184,6 +227,7 @@
 
   tcase_add_loop_test (tcase, test_refused_as_soon_as_known, 0, (int)G_N_ELEMENTS (CASES));
   tcase_add_test (tcase, test_another_home_says_so);
+  tcase_add_test (tcase, test_those_who_live_wait_themselves);
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
 }
