Flow world: tracing costs nothing when it is off, and the event of a table fault is freed

Each packet and message of the world was looked up in the table and its envelope copied, traced or not; bench/flow runs the same world. Both happen for the traced flow only. The run that ends at a table fault left the event's data behind. The actions' names were an array read by fixed indexes.

--- a/bench/lc-flow-world-callers.c
+++ b/bench/lc-flow-world-callers.c
@@ -339,6 +339,7 @@
 lc_world_on_datagram (LcFlowWorld *w, uint32_t address, LcWorldDatagram *d)
 {
   LcWorldAgent *a = w->agents[address];
+  bool is_traced = d->flow == w->desc.trace_flow && d->flow != 0;
   LcFlowAction action;
   LcWorldSeen before;
   LcEnvelope came;
@@ -351,10 +352,13 @@
       d->envelope.target_id = a->id;
       d->envelope.target_instance = a->instance;
     }
-  came = d->envelope;
-  before = lc_world_seen (a, &d->packet.key);
+  if (is_traced)
+    {
+      came = d->envelope;
+      before = lc_world_seen (a, &d->packet.key);
+    }
   action = lc_flow_agent_packet (&a->agent, &d->envelope, &d->packet, w->now_us);
-  if (d->flow == w->desc.trace_flow && d->flow != 0)
+  if (is_traced)
     lc_world_trace_packet (w, a, &came, d, &before, &action);
   switch (action.kind)
     {
--- a/bench/lc-flow-world-trace.c
+++ b/bench/lc-flow-world-trace.c
@@ -4,7 +4,6 @@
 static const char *const LC_WORLD_KINDS[] = { "nothing", "owned", "pointer", "pending" };
 static const char *const LC_WORLD_MODES[] = { "?",    "walk",    "assign", "owner",
                                               "open", "refused", "search", "find" };
-static const char *const LC_WORLD_ACTIONS[] = { "drop", "deliver", "send" };
 
 static const char *
 lc_world__action_name (const LcFlowAction *action)
@@ -12,11 +11,11 @@
   switch (action->kind)
     {
     case LC_FLOW_ACTION_DELIVER:
-      return LC_WORLD_ACTIONS[1];
+      return "deliver";
     case LC_FLOW_ACTION_SEND:
-      return LC_WORLD_ACTIONS[2];
+      return "send";
     default:
-      return LC_WORLD_ACTIONS[0];
+      return "drop";
     }
 }
 
--- a/bench/lc-flow-world.c
+++ b/bench/lc-flow-world.c
@@ -208,17 +208,24 @@
 }
 
 static void
-lc_world__on_message (LcFlowWorld *w, LcWorldAgent *a, const LcFlowMessage *m)
+lc_world__traced_message (LcFlowWorld *w, LcWorldAgent *a, const LcFlowMessage *m)
 {
   LcFlowKey key = lc_world_key_of (w, w->desc.trace_flow);
-  LcWorldSeen before;
+  LcWorldSeen before = lc_world_seen (a, &key);
 
+  lc_flow_agent_message (&a->agent, m, w->now_us);
+  lc_world_trace_message (w, a, m, &key, &before);
+}
+
+static void
+lc_world__on_message (LcFlowWorld *w, LcWorldAgent *a, const LcFlowMessage *m)
+{
   if (a == NULL || !a->is_alive)
     return;
-  before = lc_world_seen (a, &key);
-  lc_flow_agent_message (&a->agent, m, w->now_us);
   if (w->desc.trace_flow != 0)
-    lc_world_trace_message (w, a, m, &key, &before);
+    lc_world__traced_message (w, a, m);
+  else
+    lc_flow_agent_message (&a->agent, m, w->now_us);
   lc_world_send_messages (w, a);
 }
 
@@ -312,9 +319,9 @@
       lc_world__dispatch (w, &event);
       if (w->desc.checks_tables)
         lc_world__check_tables (w, event.kind);
+      g_free (event.data);
       if (w->counts.table_faults > 0)
         return; /* what comes next may crash */
-      g_free (event.data);
     }
 }
 
