Steering: the assigner that a walk has passed is known by its place in the list

It was copied and searched for again at each decision on a packet; a list only grows while it is walked, so its index stays.

--- a/src/core/flow/lc-flow-agent-packet.c
+++ b/src/core/flow/lc-flow-agent-packet.c
@@ -406,25 +406,22 @@
 }
 
 /* Whether the walk has just been given an older assigner after it passed the one that it named
- * until now.  That one, and the marks on the way, still say that it assigns the flow: another copy
- * of the first packet would be assigned there, and the flow get a second owner. */
+ * until now (`passed`: its place).  That one, and the marks on the way, still say that it assigns
+ * the flow: another copy of the first packet would be assigned there, and the flow get a second
+ * owner. */
 static bool
 lc_flow_agent__must_walk_back (const LcFlowAgent *a,
                                const LcEnvelope *e,
                                const LcPacket *packet,
-                               const LcCandidate *passed,
+                               uint8_t passed,
                                const LcSteer *s)
 {
-  uint8_t i = 0;
+  const LcCandidate *to = &e->candidates[passed];
 
-  if (e->mode != LC_MODE_WALK || !packet->may_open ||
-      lc_candidate_equal (passed, &e->candidates[e->assigner]) ||
-      lc_candidate_equal (passed, &a->desc.self) ||
+  if (e->mode != LC_MODE_WALK || !packet->may_open || passed == e->assigner || passed >= e->hop ||
       (s->kind != LC_STEER_NEXT && s->kind != LC_STEER_DEFER && s->kind != LC_STEER_ASSIGN))
     return false;
-  while (i < e->n && !lc_candidate_equal (&e->candidates[i], passed))
-    i++;
-  return i < e->hop && !lc_flow_agent__is_gone (a, e, passed);
+  return !lc_candidate_equal (to, &a->desc.self) && !lc_flow_agent__is_gone (a, e, to);
 }
 
 /* Back to the assigner that the walk named before, to leave the older one's mark there or to find
@@ -449,7 +446,7 @@
   LcFlow *f = lc_flow_table_find (&a->table, &packet->key, lc_flow_key_hash (&packet->key));
   LcSteerSelf self = lc_flow_agent__self (a);
   LcSteerKnown known = lc_flow_agent__known (a, f);
-  LcCandidate assigner = e->candidates[e->assigner];
+  uint8_t assigner = e->assigner; /* entries of a list keep their places: it only grows */
   LcSteer s;
 
   lc_flow_agent__note_broken (a, f, &known, e);
@@ -459,8 +456,8 @@
   if (s.kind == LC_STEER_ASSIGN && e->mode == LC_MODE_WALK &&
       !lc_candidate_equal (&e->candidates[e->assigner], &self.agent))
     s = (LcSteer){ .kind = LC_STEER_DEFER, .to = e->candidates[e->assigner] }; /* sent back here */
-  if (lc_flow_agent__must_walk_back (a, e, packet, &assigner, &s))
-    return lc_flow_agent__walk_back (a, e, f, packet, &assigner, now_us);
+  if (lc_flow_agent__must_walk_back (a, e, packet, assigner, &s))
+    return lc_flow_agent__walk_back (a, e, f, packet, &e->candidates[assigner], now_us);
   switch (s.kind)
     {
     case LC_STEER_DELIVER:
