Claims: who waits is decided in one place, and a member says itself how long

Two loops of lc-claim-era asked the same of each member: lc_claim_era__is_awaited. Three callers of lc_request_agent_source filled in lost_for_us after it: it gets the time and fills it in. A home that is the owner itself computed the wait for each keyed request, also where the claim is granted: only where the claim must be tried again.

--- a/bench/lc-request-lychee.c
+++ b/bench/lc-request-lychee.c
@@ -108,8 +108,7 @@
   if (back == NULL)
     return;
   back->read.holds = g_array_new (FALSE, FALSE, sizeof (LcClaimHold));
-  lc_request_agent_source (&node->agent, event->read.era, &back->read.source);
-  back->read.source.lost_for_us = lc_claim_era_stalled_for_us (&node->agent.era, l->now_us);
+  lc_request_agent_source (&node->agent, event->read.era, l->now_us, &back->read.source);
   lc_request_agent_records (
       &node->agent, event->read.reader, (const LcMemberRef *)(void *)event->read.members->data,
       event->read.members->len, l->now_us, lc_lychee__add_hold, back->read.holds);
--- a/src/agent/lc-agent-claims.c
+++ b/src/agent/lc-agent-claims.c
@@ -1,7 +1,8 @@
 #include "lc-agent-request-private.h"
 
-/* What another agent may say at most: longer than any claim is waited for (lc-claim-era.h). */
-#define LC_CLAIM_LOST_MAX_US ((uint64_t)(3600 * LC_US_PER_S))
+/* A time that another agent names counts up to this: longer than any claim is kept or waited for.
+ */
+#define LC_AGENT_CLAIM_TIME_MAX_US ((uint64_t)(3600 * LC_US_PER_S))
 
 /* === private: claims in ===================================================================== */
 
@@ -22,7 +23,7 @@
   answer.result = lc_request_agent_claim (
       &plane->core, claim->home_instance, key,
       (LcMemberRef){ claim->owner_id, claim->owner_instance }, claim->sequence, claim->era,
-      (int64_t)MIN (claim->keep_us, (uint64_t)(3600 * LC_US_PER_S)), lc_clock_now_us (), &hold);
+      (int64_t)MIN (claim->keep_us, LC_AGENT_CLAIM_TIME_MAX_US), lc_clock_now_us (), &hold);
   answer.key_hi = key.hi;
   answer.key_lo = key.lo;
   answer.sequence = claim->sequence;
@@ -56,7 +57,8 @@
                           .era = answer->era,
                           .result = (LcClaimResult)answer->result,
                           .holder = { answer->holder_id, answer->holder_instance },
-                          .lost_for_us = (int64_t)MIN (answer->lost_for_us, LC_CLAIM_LOST_MAX_US) };
+                          .lost_for_us =
+                              (int64_t)MIN (answer->lost_for_us, LC_AGENT_CLAIM_TIME_MAX_US) };
   lc__request__claim_answer__free_unpacked (answer, NULL);
   lc_request_agent_claim_reply (&plane->core, &reply, lc_clock_now_us ());
 }
@@ -130,7 +132,7 @@
                         .now_us = lc_clock_now_us () };
   LcClaimSource source;
 
-  lc_request_agent_source (&plane->core, read->era, &source);
+  lc_request_agent_source (&plane->core, read->era, reply.now_us, &source);
   reply.member.id = source.member.id;
   reply.member.instance = source.member.instance;
   reply.message.member = &reply.member;
@@ -138,8 +140,7 @@
   reply.message.member_era = source.era;
   reply.message.member_whole = source.whole;
   reply.message.member_whole_from = source.whole_from;
-  reply.message.lost_for_us =
-      (uint64_t)lc_claim_era_stalled_for_us (&plane->core.era, reply.now_us);
+  reply.message.lost_for_us = (uint64_t)source.lost_for_us;
   reply.records = g_new (Lc__Request__ClaimRecord, LC_REQUEST_READ_RECORDS);
   reply.list = g_new (Lc__Request__ClaimRecord *, LC_REQUEST_READ_RECORDS);
   reply.message.records = reply.list;
@@ -192,8 +193,7 @@
       LcClaimHold hold = { { record->key_hi, record->key_lo },
                            { record->owner_id, record->owner_instance },
                            record->sequence,
-                           now_us +
-                               (int64_t)MIN (record->left_us, (uint64_t)(3600 * LC_US_PER_S)) };
+                           now_us + (int64_t)MIN (record->left_us, LC_AGENT_CLAIM_TIME_MAX_US) };
 
       lc_request_agent_record (&plane->core, &hold);
     }
@@ -204,7 +204,7 @@
                                answer->member_era,
                                answer->member_whole,
                                answer->member_whole_from,
-                               (int64_t)MIN (answer->lost_for_us, LC_CLAIM_LOST_MAX_US) };
+                               (int64_t)MIN (answer->lost_for_us, LC_AGENT_CLAIM_TIME_MAX_US) };
 
       lc_request_agent_read_done (&plane->core, &source, now_us);
     }
--- a/src/core/request/lc-claim-era.c
+++ b/src/core/request/lc-claim-era.c
@@ -395,6 +395,14 @@
   lc_claim_era__advance (era, now_us);
 }
 
+/* Whether this member of the view lives, was in the set before, and has not told what it knows. */
+static bool
+lc_claim_era__is_awaited (const LcClaimEra *era, const LcClaimSet *former, LcMemberRef member)
+{
+  return lc_claim_era__has (former, member) && !lc_claim_era__is_source (era, member) &&
+         !lc_member_ref_equal (member, era->desc.self);
+}
+
 /* Whether a member of the set before may still answer. */
 static bool
 lc_claim_era__may_answer (const LcClaimEra *era, guint target)
@@ -402,13 +410,8 @@
   const LcClaimSet *former = lc_claim_era__former (era, target);
 
   for (guint i = 0; former != NULL && i < era->alive->len; i++)
-    {
-      LcMemberRef member = g_array_index (era->alive, LcMemberRef, i);
-
-      if (lc_claim_era__has (former, member) && !lc_claim_era__is_source (era, member) &&
-          !lc_member_ref_equal (member, era->desc.self))
-        return true;
-    }
+    if (lc_claim_era__is_awaited (era, former, g_array_index (era->alive, LcMemberRef, i)))
+      return true;
   return false;
 }
 
@@ -498,8 +501,7 @@
     {
       LcMemberRef member = g_array_index (era->alive, LcMemberRef, i);
 
-      if (lc_claim_era__has (former, member) && !lc_claim_era__is_source (era, member) &&
-          !lc_member_ref_equal (member, era->desc.self))
+      if (lc_claim_era__is_awaited (era, former, member))
         first_us = MIN (first_us, lc_claim_era__stalled_until_us (era, member));
     }
   return first_us;
--- a/src/core/request/lc-request-agent-claim.c
+++ b/src/core/request/lc-request-agent-claim.c
@@ -70,10 +70,11 @@
             lc_agent__claim_there (agent, run, homes[i], now_us);
             continue;
           }
-        if (lc_agent__refuse_lost (
+        verdict = lc_agent__claim_here (agent, run, &holder, now_us);
+        if (verdict == LC_CLAIM_TRY_AGAIN &&
+            lc_agent__refuse_lost (
                 agent, run, lc_claim_era_lost_for_us (&agent->era, run->key, now_us), now_us))
           return;
-        verdict = lc_agent__claim_here (agent, run, &holder, now_us);
         if (verdict != LC_CLAIM_TRY_PENDING)
           {
             lc_agent__verdict (agent, run, verdict, holder, now_us);
@@ -174,10 +175,13 @@
 }
 
 void
-lc_request_agent_source (const LcRequestAgent *agent, LcRevision asked, LcClaimSource *source)
+lc_request_agent_source (const LcRequestAgent *agent,
+                         LcRevision asked,
+                         int64_t now_us,
+                         LcClaimSource *source)
 {
   source->asked = asked;
-  source->lost_for_us = 0; /* the caller knows the time */
+  source->lost_for_us = lc_claim_era_stalled_for_us (&agent->era, now_us);
   source->member = agent->desc.self;
   source->era = lc_claim_era_now (&agent->era);
   source->whole = agent->era.whole;
--- a/src/core/request/lc-request-agent.h
+++ b/src/core/request/lc-request-agent.h
@@ -216,8 +216,10 @@
 
   /* As a member that is read for a step to `asked`: what to say of itself, then every record that
    * the reader needs. */
-  void
-  lc_request_agent_source (const LcRequestAgent *agent, LcRevision asked, LcClaimSource *source);
+  void lc_request_agent_source (const LcRequestAgent *agent,
+                                LcRevision asked,
+                                int64_t now_us,
+                                LcClaimSource *source);
   void lc_request_agent_records (const LcRequestAgent *agent,
                                  LcMemberRef reader,
                                  const LcMemberRef *members,
--- a/tests/request/fake-world.cc
+++ b/tests/request/fake-world.cc
@@ -227,8 +227,7 @@
           std::vector<LcClaimHold> holds;
           Message back;
 
-          lc_request_agent_source (&agents[from].agent, asked_era, &source);
-          source.lost_for_us = lc_claim_era_stalled_for_us (&agents[from].agent.era, now_us);
+          lc_request_agent_source (&agents[from].agent, asked_era, now_us, &source);
           lc_request_agent_records (
               &agents[from].agent, reader, members.data (), (uint32_t)members.size (), now_us,
               [] (void *user, const LcClaimHold *hold) {
