--- a/src/core/request/lc-request-agent-private.h
+++ b/src/core/request/lc-request-agent-private.h
@@ -64,7 +64,8 @@
 } LcSeen;
 
 LcAgentAction *lc_agent__act (LcRequestAgent *agent, LcAgentActionKind kind);
-void
+/* The action stands until the next one is added. */
+LcAgentAction *
 lc_agent__refuse (LcRequestAgent *agent, const LcAsk *ask, LcRefuseReason reason, bool is_checked);
 void lc_agent__answer (LcRequestAgent *agent, const LcAsk *ask, LcAnswer *answer, bool is_replayed);
 LcSeen *lc_agent__find_seen (const LcRequestAgent *agent, const LcAsk *ask);
--- a/src/core/request/lc-request-agent-run.c
+++ b/src/core/request/lc-request-agent-run.c
@@ -11,7 +11,7 @@
   return &g_array_index (agent->actions, LcAgentAction, agent->actions->len - 1);
 }
 
-void
+LcAgentAction *
 lc_agent__refuse (LcRequestAgent *agent, const LcAsk *ask, LcRefuseReason reason, bool is_checked)
 {
   LcAgentAction *action = lc_agent__act (agent, LC_AGENT_REFUSE);
@@ -21,6 +21,7 @@
   action->refuse.is_checked = is_checked;
   action->refuse.retry_after_us = lc_admission_retry_after_us (&agent->admission);
   agent->stats.refused_total++;
+  return action;
 }
 
 void
@@ -169,10 +170,9 @@
 
   for (guint i = 0; i < run->asks->len; i++)
     {
-      LcAgentAction *action;
+      LcAgentAction *action =
+          lc_agent__refuse (agent, &g_array_index (run->asks, LcAsk, i), reason, is_checked);
 
-      lc_agent__refuse (agent, &g_array_index (run->asks, LcAsk, i), reason, is_checked);
-      action = &g_array_index (agent->actions, LcAgentAction, agent->actions->len - 1);
       action->refuse.owner = owner;
       if (run->retry_after_us > 0)
         action->refuse.retry_after_us = run->retry_after_us;
