--- a/bench/lc-flow-world-callers.c
+++ b/bench/lc-flow-world-callers.c
@@ -427,7 +427,7 @@
   LcEndpointId id = 0;
 
   lc_candidate_sets_compile (&sets, s);
-  if (set < sets.n_sets && lc_candidates_homes (&sets, set, hash, homes) > 0)
+  if (set < sets.n_sets && lc_candidates_homes (&sets, set, hash, LC_REGIONS_ALL, homes) > 0)
     id = homes[0]->candidate.id;
   lc_candidate_sets_finish (&sets);
   return id;
--- a/bench/lc-scale-flow.c
+++ b/bench/lc-scale-flow.c
@@ -62,7 +62,7 @@
     {
       LcCandidateList list;
 
-      lc_candidates_pick (&sets, (uint64_t)(i + seed) * 0x9e3779b97f4a7c15U, &list);
+      lc_candidates_pick (&sets, (uint64_t)(i + seed) * 0x9e3779b97f4a7c15U, LC_REGIONS_ALL, &list);
       n_picked += list.n;
     }
   began_us = lc_scale_cpu_us () - began_us;
--- a/proto/lc-control.pb-c.c
+++ b/proto/lc-control.pb-c.c
@@ -2193,7 +2193,7 @@
   (ProtobufCMessageInit) lc__wire__control_forward__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__declared_address__field_descriptors[3] =
+static const ProtobufCFieldDescriptor lc__wire__declared_address__field_descriptors[4] =
 {
   {
     "ipv4",
@@ -2231,8 +2231,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "homes",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__DeclaredAddress, homes),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__declared_address__field_indices_by_name[] = {
+  3,   /* field[3] = homes */
   0,   /* field[0] = ipv4 */
   1,   /* field[1] = port */
   2,   /* field[2] = protocol */
@@ -2240,7 +2253,7 @@
 static const ProtobufCIntRange lc__wire__declared_address__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor lc__wire__declared_address__descriptor =
 {
@@ -2250,7 +2263,7 @@
   "Lc__Wire__DeclaredAddress",
   "lc.wire",
   sizeof(Lc__Wire__DeclaredAddress),
-  3,
+  4,
   lc__wire__declared_address__field_descriptors,
   lc__wire__declared_address__field_indices_by_name,
   1,  lc__wire__declared_address__number_ranges,
@@ -2682,7 +2695,7 @@
   (ProtobufCMessageInit) lc__wire__intent__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__command_member__field_descriptors[6] =
+static const ProtobufCFieldDescriptor lc__wire__command_member__field_descriptors[7] =
 {
   {
     "kind",
@@ -2756,19 +2769,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "region",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__CommandMember, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__command_member__field_indices_by_name[] = {
   4,   /* field[4] = balancer */
   1,   /* field[1] = data_centre */
   3,   /* field[3] = endpoint */
   0,   /* field[0] = kind */
+  6,   /* field[6] = region */
   2,   /* field[2] = service */
   5,   /* field[5] = settled_revision */
 };
 static const ProtobufCIntRange lc__wire__command_member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lc__wire__command_member__descriptor =
 {
@@ -2778,7 +2804,7 @@
   "Lc__Wire__CommandMember",
   "lc.wire",
   sizeof(Lc__Wire__CommandMember),
-  6,
+  7,
   lc__wire__command_member__field_descriptors,
   lc__wire__command_member__field_indices_by_name,
   1,  lc__wire__command_member__number_ranges,
--- a/proto/lc-control.pb-c.h
+++ b/proto/lc-control.pb-c.h
@@ -259,10 +259,11 @@
   uint32_t ipv4;
   uint32_t port;
   uint32_t protocol;
+  char *homes;
 };
 #define LC__WIRE__DECLARED_ADDRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__declared_address__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Lc__Wire__DeclaredRoute
@@ -339,10 +340,11 @@
   Lc__Wire__Endpoint *endpoint;
   Lc__Wire__Balancer *balancer;
   uint64_t settled_revision;
+  char *region;
 };
 #define LC__WIRE__COMMAND_MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__command_member__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, NULL, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Lc__Wire__NumberedDeclaration
--- a/proto/lc-member.pb-c.c
+++ b/proto/lc-member.pb-c.c
@@ -502,7 +502,7 @@
   assert(message->base.descriptor == &lc__wire__member_retry__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lc__wire__member_change__field_descriptors[6] =
+static const ProtobufCFieldDescriptor lc__wire__member_change__field_descriptors[7] =
 {
   {
     "kind",
@@ -576,19 +576,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "region",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__MemberChange, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__member_change__field_indices_by_name[] = {
   4,   /* field[4] = balancer */
   1,   /* field[1] = data_centre */
   3,   /* field[3] = endpoint */
   0,   /* field[0] = kind */
+  6,   /* field[6] = region */
   2,   /* field[2] = service */
   5,   /* field[5] = settled_revision */
 };
 static const ProtobufCIntRange lc__wire__member_change__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lc__wire__member_change__descriptor =
 {
@@ -598,7 +611,7 @@
   "Lc__Wire__MemberChange",
   "lc.wire",
   sizeof(Lc__Wire__MemberChange),
-  6,
+  7,
   lc__wire__member_change__field_descriptors,
   lc__wire__member_change__field_indices_by_name,
   1,  lc__wire__member_change__number_ranges,
--- a/proto/lc-member.pb-c.h
+++ b/proto/lc-member.pb-c.h
@@ -49,10 +49,14 @@
   Lc__Wire__Endpoint *endpoint;
   Lc__Wire__Balancer *balancer;
   uint64_t settled_revision;
+  /*
+   * of the data centre; "": not known
+   */
+  char *region;
 };
 #define LC__WIRE__MEMBER_CHANGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__member_change__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, NULL, 0, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/proto/lc-view.pb-c.c
+++ b/proto/lc-view.pb-c.c
@@ -1051,7 +1051,7 @@
   (ProtobufCMessageInit) lc__wire__service__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__address__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lc__wire__address__field_descriptors[5] =
 {
   {
     "ipv4",
@@ -1101,8 +1101,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "homes",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__Address, homes),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__address__field_indices_by_name[] = {
+  4,   /* field[4] = homes */
   0,   /* field[0] = ipv4 */
   1,   /* field[1] = port */
   2,   /* field[2] = protocol */
@@ -1111,7 +1124,7 @@
 static const ProtobufCIntRange lc__wire__address__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lc__wire__address__descriptor =
 {
@@ -1121,7 +1134,7 @@
   "Lc__Wire__Address",
   "lc.wire",
   sizeof(Lc__Wire__Address),
-  4,
+  5,
   lc__wire__address__field_descriptors,
   lc__wire__address__field_indices_by_name,
   1,  lc__wire__address__number_ranges,
--- a/proto/lc-view.pb-c.h
+++ b/proto/lc-view.pb-c.h
@@ -113,10 +113,11 @@
   uint32_t port;
   uint32_t protocol;
   uint32_t service_id;
+  char *homes;
 };
 #define LC__WIRE__ADDRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__address__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Lc__Wire__Route
--- a/src/balancer/lc-balancer-settings.c
+++ b/src/balancer/lc-balancer-settings.c
@@ -10,6 +10,11 @@
 static const LcSettingsField LC_BALANCER_FIELDS[] = {
   LC_SETTING_ROW_NAME (LcBalancerSettings, "unique name of this balancer"),
   LC_SETTING_ROW_DATA_CENTRE (LcBalancerSettings),
+  { .path = "region",
+    .kind = LC_SETTING_STRING,
+    FIELD (region),
+    .size = sizeof ((LcBalancerSettings *)0)->region,
+    .help = "region of the data centre; left out: a declaration names it" },
   LC_SETTING_ROW_ADDRESS (LcBalancerSettings),
   { .path = "peer_port",
     .kind = LC_SETTING_PORT,
--- a/src/balancer/lc-balancer-settings.h
+++ b/src/balancer/lc-balancer-settings.h
@@ -8,6 +8,7 @@
 {
   char name[LC_NAME_MAX];
   char data_centre[LC_NAME_MAX];
+  char region[LC_NAME_MAX]; /* of the data centre; "": a declaration names it */
   uint32_t ipv4;
   uint16_t peer_port;
   uint16_t flow_port;
--- a/src/balancer/main.c
+++ b/src/balancer/main.c
@@ -118,6 +118,7 @@
   LcMemberDesc desc = { .app = &p->app,
                         .kind = LC_MEMBER_BALANCER,
                         .data_centre = p->settings.data_centre,
+                        .region = p->settings.region,
                         .upstreams = p->settings.control,
                         .n_upstreams = p->settings.n_control,
                         .lease_ms = p->settings.lease_ms,
--- a/src/control/lc-control-codec.c
+++ b/src/control/lc-control-codec.c
@@ -28,6 +28,7 @@
       addresses[i].ipv4 = s->addresses[i].ipv4;
       addresses[i].port = s->addresses[i].port;
       addresses[i].protocol = s->addresses[i].protocol;
+      addresses[i].homes = (char *)s->addresses[i].homes;
       m->addresses[i] = &addresses[i];
     }
   m->n_routes = s->n_routes;
@@ -100,6 +101,7 @@
       s->addresses[i].ipv4 = m->addresses[i]->ipv4;
       s->addresses[i].port = (uint16_t)m->addresses[i]->port;
       s->addresses[i].protocol = (uint8_t)m->addresses[i]->protocol;
+      ok = ok && lc_codec__copy (s->addresses[i].homes, LC_HOMES_BYTES, m->addresses[i]->homes);
     }
   s->n_routes = (uint32_t)m->n_routes;
   s->routes = g_new0 (LcDeclaredRoute, m->n_routes);
@@ -148,6 +150,7 @@
   m->kind = change->kind;
   m->data_centre = (char *)change->data_centre;
   m->service = (char *)change->service;
+  m->region = (char *)change->region;
   if (change->kind == LC_MEMBER_SETTLED)
     m->settled_revision = change->settled_revision;
   else if (change->kind <= LC_MEMBER_ENDPOINT_LOST)
@@ -168,7 +171,8 @@
 {
   if (m == NULL || m->kind < LC_MEMBER_ENDPOINT_ANNOUNCED || m->kind > LC_MEMBER_SETTLED ||
       !lc_codec__copy (change->data_centre, LC_NAME_MAX, m->data_centre) ||
-      !lc_codec__copy (change->service, LC_NAME_MAX, m->service))
+      !lc_codec__copy (change->service, LC_NAME_MAX, m->service) ||
+      !lc_codec__copy (change->region, LC_NAME_MAX, m->region))
     return false;
   change->kind = (LcMemberChangeKind)m->kind;
   if (change->kind == LC_MEMBER_SETTLED)
--- a/src/control/lc-control-http.c
+++ b/src/control/lc-control-http.c
@@ -2,6 +2,7 @@
 
 #include "io/lc-clock.h"
 #include "lc-control-json.h"
+#include "core/control/lc-home-check.h"
 #include "platform/lc-platform-declaration.h"
 #include "platform/lc-platform-evacuation.h"
 
@@ -344,6 +345,9 @@
   int r =
       lc_platform_declaration_read (&command.numbered, req->entity.base, req->entity.len, &error);
 
+  if (r == 0)
+    r = lc_home_check (&command.numbered.declaration, &lc_replica_state (http->desc.replica)->view,
+                       http->desc.settings->regions, &error);
   if (r == 0 && http->waiting->len >= LC_CONTROL_HTTP_WAITING_MAX)
     r = lc_error_set (&error, LC_ERR_UNAVAILABLE, "send it again in a second",
                       "%d requests wait already", LC_CONTROL_HTTP_WAITING_MAX);
--- a/src/control/lc-control-json.c
+++ b/src/control/lc-control-json.c
@@ -99,7 +99,7 @@
 
 /* "a.b.c.d:port/udp" */
 static int
-lc_json__address (const json_t *value, const char *path, LcDeclaredAddress *address, LcError *error)
+lc_json__place (const json_t *value, const char *path, LcDeclaredAddress *address, LcError *error)
 {
   const char *text = json_string_value (value);
   const char *slash = text != NULL ? strrchr (text, '/') : NULL;
@@ -120,6 +120,36 @@
   return 0;
 }
 
+static int
+lc_json__homes (const json_t *object, const char *path, char homes[LC_HOMES_BYTES], LcError *error)
+{
+  const json_t *array;
+  int r = lc_json__array (object, "homes", path, &array, error);
+
+  for (size_t i = 0; i < json_array_size (array) && r == 0; i++)
+    {
+      const char *region = json_string_value (json_array_get (array, i));
+
+      r = lc_homes_add (homes, region != NULL ? region : "", error);
+    }
+  return r;
+}
+
+/* The place alone, or an object with the regions that its new flows are kept to. */
+static int
+lc_json__address (const json_t *value, const char *path, LcDeclaredAddress *address, LcError *error)
+{
+  static const char *const KNOWN[] = { "address", "homes", NULL };
+  int r;
+
+  if (!json_is_object (value))
+    return lc_json__place (value, path, address, error);
+  r = lc_json__only (value, path, KNOWN, error);
+  if (r == 0)
+    r = lc_json__place (json_object_get (value, "address"), path, address, error);
+  return r < 0 ? r : lc_json__homes (value, path, address->homes, error);
+}
+
 static int
 lc_json__addresses (const json_t *object, const char *path, LcDeclaredService *s, LcError *error)
 {
--- a/src/control/lc-control-settings.c
+++ b/src/control/lc-control-settings.c
@@ -30,6 +30,13 @@
     .default_u64 = 9100,
     .unit = "port",
     .help = "metrics and health; 0: they are served at http_port" },
+  { .path = "regions",
+    .kind = LC_SETTING_STRING,
+    FIELD (regions),
+    .size = sizeof ((LcControlSettings *)0)->regions,
+    .help =
+        "names of regions, joined by commas, that addresses may have as homes before a balancer "
+        "there has announced itself" },
   { .path = "data_folder",
     .kind = LC_SETTING_STRING,
     FIELD (data_folder),
--- a/src/controller/lc-member-upstream.c
+++ b/src/controller/lc-member-upstream.c
@@ -98,6 +98,8 @@
 {
   memset (change, 0, sizeof *change);
   (void)g_strlcpy (change->data_centre, member->desc.data_centre, sizeof change->data_centre);
+  if (member->desc.region != NULL)
+    (void)g_strlcpy (change->region, member->desc.region, sizeof change->region);
   if (member->desc.kind == LC_MEMBER_AGENT)
     {
       change->kind = LC_MEMBER_ENDPOINT_ANNOUNCED;
--- a/src/controller/lc-member.h
+++ b/src/controller/lc-member.h
@@ -61,6 +61,7 @@
   LcEndpoint endpoint; /* agents: name, instance, addresses, slots, limits, weight */
   LcBalancer balancer; /* balancers: name, instance, addresses */
   const char *data_centre;
+  const char *region;               /* balancers: of the data centre; NULL or "": not known */
   const char *service;              /* agents */
   const LcSocketAddress *upstreams; /* agents: balancers; balancers: control */
   uint32_t n_upstreams;
--- a/src/core/control/lc-control-declare.c
+++ b/src/core/control/lc-control-declare.c
@@ -1,5 +1,6 @@
 #include "lc-control-plan-private.h"
 #include "lc-control-private.h"
+#include "lc-home-check.h"
 
 #include <string.h>
 
@@ -206,9 +207,9 @@
           lc_view_address (&work->state->view, d->ipv4, d->port, (LcProtocol)d->protocol);
       LcAddress a;
 
-      if (known != NULL && known->service_id == id)
+      if (known != NULL && known->service_id == id && strcmp (known->homes, d->homes) == 0)
         continue;
-      if (known != NULL)
+      if (known != NULL && known->service_id != id)
         return lc_error_set (error, LC_ERR_EXISTS, "give it up in the other service first",
                              "service %s: address %u belongs to another service", w->name, i + 1);
       memset (&a, 0, sizeof a);
@@ -216,8 +217,12 @@
       a.port = d->port;
       a.protocol = d->protocol;
       a.service_id = id;
+      (void)g_strlcpy (a.homes, d->homes, sizeof a.homes);
+      if (known != NULL)
+        lc_plan__add (work, LC_VIEW_ADDRESS_REMOVED)->address = *known;
       lc_plan__add (work, LC_VIEW_ADDRESS)->address = a;
-      lc_plan__say_address (work->steps, "add address", w->name, &a);
+      lc_plan__say_address (work->steps, known != NULL ? "move homes of" : "add address", w->name,
+                            &a);
     }
   return 0;
 }
@@ -372,6 +377,9 @@
 {
   int r = 0;
 
+  r = lc_home_check (&intent->declaration, &work->state->view, "", error);
+  if (r < 0)
+    return r;
   lc_plan__gather (work);
   lc_plan__declare_dcs (work, &intent->declaration);
   for (uint32_t i = 0; i < intent->declaration.n_services && r == 0; i++)
--- a/src/core/control/lc-control-member.c
+++ b/src/core/control/lc-control-member.c
@@ -191,18 +191,27 @@
 
 /* === private: balancers ===================================================================== */
 
-/* Balancers bring their data centre with them: they must be served before any market is open. */
+/* Balancers bring their data centre with them, and its region where no declaration has named one:
+ * they must be served before any market is open. */
 static LcDcId
-lc_control__dc_of_balancer (LcControlState *state, LcRevision revision, const char *name)
+lc_control__dc_of_balancer (LcControlState *state,
+                            LcRevision revision,
+                            const LcMemberChange *change)
 {
-  const LcDataCentre *dc = lc_view_dc_by_name (&state->view, name);
+  const LcDataCentre *dc = lc_view_dc_by_name (&state->view, change->data_centre);
   LcViewOp op = { .kind = LC_VIEW_DC };
 
-  if (dc != NULL)
+  if (dc != NULL && (dc->region[0] != '\0' || change->region[0] == '\0'))
     return dc->id;
-  op.dc.id = (LcDcId)state->next_dc_id++;
-  op.dc.state = LC_DC_ACTIVE;
-  (void)g_strlcpy (op.dc.name, name, sizeof op.dc.name);
+  if (dc != NULL)
+    op.dc = *dc;
+  else
+    {
+      op.dc.id = (LcDcId)state->next_dc_id++;
+      op.dc.state = LC_DC_ACTIVE;
+      (void)g_strlcpy (op.dc.name, change->data_centre, sizeof op.dc.name);
+    }
+  (void)g_strlcpy (op.dc.region, change->region, sizeof op.dc.region);
   lc_control__emit (state, revision, &op);
   return op.dc.id;
 }
@@ -269,7 +278,7 @@
   memset (&b, 0, sizeof b);
   b.id = record->id;
   b.instance = from->instance;
-  b.dc = lc_control__dc_of_balancer (state, revision, change->data_centre);
+  b.dc = lc_control__dc_of_balancer (state, revision, change);
   b.state = LC_BALANCER_ACTIVE;
   b.ipv4 = from->ipv4;
   b.peer_port = from->peer_port;
--- a/src/core/control/lc-control-numbered.c
+++ b/src/core/control/lc-control-numbered.c
@@ -36,6 +36,19 @@
   return op.service.id;
 }
 
+/* Agents know of addresses with homes alone (lc-scope.h): that one has them no more, or leads to
+ * another service, is told by the homes that it had. */
+static void
+lc_control__take_homes (LcControlState *state, LcRevision revision, const LcAddress *known)
+{
+  LcViewOp op = { .kind = LC_VIEW_ADDRESS_REMOVED };
+
+  if (known == NULL || known->homes[0] == '\0')
+    return;
+  op.address = *known;
+  lc_control__emit (state, revision, &op);
+}
+
 static void
 lc_control__want_address (LcControlState *state,
                           LcRevision revision,
@@ -47,12 +60,14 @@
       lc_view_address (&state->view, w->ipv4, w->port, (LcProtocol)w->protocol);
   LcViewOp op = { .kind = LC_VIEW_ADDRESS };
 
-  if (known == NULL || known->service_id != service_id)
+  if (known == NULL || known->service_id != service_id || strcmp (known->homes, w->homes) != 0)
     {
+      lc_control__take_homes (state, revision, known);
       op.address.ipv4 = w->ipv4;
       op.address.port = w->port;
       op.address.protocol = w->protocol;
       op.address.service_id = service_id;
+      (void)g_strlcpy (op.address.homes, w->homes, sizeof op.address.homes);
       lc_control__emit (state, revision, &op);
       known = lc_view_address (&state->view, w->ipv4, w->port, (LcProtocol)w->protocol);
     }
--- a/src/core/control/lc-control-state.c
+++ b/src/core/control/lc-control-state.c
@@ -146,9 +146,13 @@
 
       hash = XXH3_64bits_withSeed (s->name, strlen (s->name), hash);
       for (uint32_t k = 0; k < s->n_addresses; k++)
-        hash = (hash ^ (((uint64_t)s->addresses[k].ipv4 << 24) ^
-                        ((uint64_t)s->addresses[k].port << 8) ^ s->addresses[k].protocol)) *
-               UINT64_C (0x9e3779b97f4a7c15);
+        {
+          const LcDeclaredAddress *w = &s->addresses[k];
+
+          hash = (hash ^ (((uint64_t)w->ipv4 << 24) ^ ((uint64_t)w->port << 8) ^ w->protocol)) *
+                 UINT64_C (0x9e3779b97f4a7c15);
+          hash = XXH3_64bits_withSeed (w->homes, strlen (w->homes), hash);
+        }
       hash ^= ((uint64_t)s->request_timeout_ms << 32) | s->caller_limit;
       hash ^= ((uint64_t)s->retry_percent << 40) ^ ((uint64_t)s->n_routes << 20) ^ s->fields;
     }
--- a/src/core/control/lc-intent.h
+++ b/src/core/control/lc-intent.h
@@ -19,6 +19,7 @@
 #define LC_INTENT_H
 
 #include "core/lc-error.h"
+#include "core/lc-homes.h"
 #include "core/lc-types.h"
 
 #ifdef __cplusplus
@@ -70,7 +71,8 @@
   {
     uint32_t ipv4;
     uint16_t port;
-    uint8_t protocol; /* LcProtocol */
+    uint8_t protocol;           /* LcProtocol */
+    char homes[LC_HOMES_BYTES]; /* lc-homes.h */
   } LcDeclaredAddress;
 
   typedef struct
--- a/src/core/flow/lc-assign.c
+++ b/src/core/flow/lc-assign.c
@@ -118,13 +118,19 @@
 }
 
 static bool
-lc_assign__may_take (LcAssign *a, const LcAssignPeer *p, int64_t now_us)
+lc_assign__may_take (LcAssign *a, const LcAssignPeer *p, LcRegionMask regions, int64_t now_us)
 {
+  if (!lc_region_is_in (regions, p->region))
+    {
+      if (a->failure == LC_DROP_NO_ENDPOINT)
+        a->failure = LC_DROP_NO_HOME;
+      return false;
+    }
   if (!p->is_candidate || lc_assign__is_stale (a, p, now_us))
     return false;
   if (p->is_evacuated)
     {
-      if (a->failure == LC_DROP_NO_ENDPOINT)
+      if (a->failure == LC_DROP_NO_ENDPOINT || a->failure == LC_DROP_NO_HOME)
         a->failure = LC_DROP_EVACUATED;
       return false;
     }
@@ -139,7 +145,8 @@
 
 /* Of a large service a sample is weighed: self and a run of peers from a changing place. */
 static void
-lc_assign__collect (LcAssign *a, uint64_t key_hash, int64_t now_us, LcAssignEligible *out)
+lc_assign__collect (
+    LcAssign *a, uint64_t key_hash, LcRegionMask regions, int64_t now_us, LcAssignEligible *out)
 {
   uint32_t sample = lc_assign__or (a->desc.sample, LC_ASSIGN_SAMPLE);
   uint32_t start = 0;
@@ -152,7 +159,7 @@
     sample = LC_ASSIGN_MAX_ELIGIBLE;
   if (a->n_peers > sample)
     start = (uint32_t)((key_hash ^ (++a->draws * UINT64_C (0x9e3779b97f4a7c15))) % a->n_peers);
-  if (self >= 0 && lc_assign__may_take (a, &a->peers[self], now_us))
+  if (self >= 0 && lc_assign__may_take (a, &a->peers[self], regions, now_us))
     {
       out->items[out->n++] = (uint16_t)self;
       out->n_bad += a->peers[self].looks_bad;
@@ -161,7 +168,7 @@
     {
       uint32_t i = (start + k) % a->n_peers;
 
-      if ((int)i == self || !lc_assign__may_take (a, &a->peers[i], now_us))
+      if ((int)i == self || !lc_assign__may_take (a, &a->peers[i], regions, now_us))
         continue;
       out->items[out->n++] = (uint16_t)i;
       out->n_bad += a->peers[i].looks_bad;
@@ -333,10 +340,13 @@
 }
 
 void
-lc_assign_set_evacuated (LcAssign *a, const LcView *view)
+lc_assign_set_places (LcAssign *a, const LcView *view)
 {
   for (uint32_t i = 0; i < a->n_peers; i++)
-    a->peers[i].is_evacuated = lc_view_is_evacuated (view, a->peers[i].dc);
+    {
+      a->peers[i].is_evacuated = lc_view_is_evacuated (view, a->peers[i].dc);
+      a->peers[i].region = lc_view_region (view, a->peers[i].dc);
+    }
 }
 
 LcAssignPeer *
@@ -374,7 +384,7 @@
 }
 
 bool
-lc_assign_may_leave_out_self (LcAssign *a, int64_t now_us)
+lc_assign_may_leave_out_self (LcAssign *a, LcRegionMask regions, int64_t now_us)
 {
   uint32_t n_good = 0;
   uint32_t n_bad = 0;
@@ -384,7 +394,7 @@
       const LcAssignPeer *p = &a->peers[i];
       bool is_bad = p->looks_bad || p->agent.id == a->self_id;
 
-      if (is_bad || lc_assign__may_take (a, p, now_us))
+      if (is_bad || lc_assign__may_take (a, p, regions, now_us))
         *(is_bad ? &n_bad : &n_good) += 1;
     }
   return n_good >= n_bad;
@@ -408,11 +418,11 @@
 }
 
 int
-lc_assign_choose (LcAssign *a, uint64_t key_hash, LcDcId dc, int64_t now_us)
+lc_assign_choose (LcAssign *a, uint64_t key_hash, LcDcId dc, LcRegionMask regions, int64_t now_us)
 {
   LcAssignEligible e;
 
-  lc_assign__collect (a, key_hash, now_us, &e);
+  lc_assign__collect (a, key_hash, regions, now_us, &e);
   lc_assign__drop_bad (a, &e);
   if (e.n == 0)
     return -1;
--- a/src/core/flow/lc-assign.h
+++ b/src/core/flow/lc-assign.h
@@ -6,9 +6,10 @@
  *
  * THE CHOICE
  *   An endpoint may take the flow when it is a candidate in the view, its data centre is not
- *   evacuated, it is not refusing at present, and it is below its connection limit.  Endpoints
- * whose backend server looks bad are passed over, unless more than half of them look bad: then the
- * sign is not believed and all are used (the guard).  Among the rest, load is open flows over
+ *   evacuated and in one of the regions that the flow is kept to, it is not refusing at present,
+ * and it is below its connection limit.  Endpoints whose backend server looks bad are passed over,
+ *   unless more than half of them look bad: then the sign is not believed and all are used (the
+ *   guard).  Among the rest, load is open flows over
  * capacity, and capacity is weight times the cold-start ramp.  Endpoints of the balancer's data
  * centre go first while the best of them is within the spillover margin of the best of all.  The
  * assigner keeps the flow itself while its own load is within a tolerance of the lowest.  An
@@ -19,9 +20,9 @@
  *     LcAssign assign;
  *     lc_assign_init (&assign, &desc);
  *     lc_assign_set_members (&assign, service, self_id, now_us);     after each view change
- *     lc_assign_set_evacuated (&assign, view);                       and this
+ *     lc_assign_set_places (&assign, view);                          and this
  *     lc_assign_report (&assign, &load, now_us);                     a peer's count
- *     int i = lc_assign_choose (&assign, hash, dc, now_us);          -1: nobody can
+ *     int i = lc_assign_choose (&assign, hash, dc, regions, now_us); -1: nobody can
  *     lc_assign_note (&assign, i);                                   before the next report
  *
  * LIFETIME
@@ -104,6 +105,7 @@
     int64_t asked_us;  /* when a searcher asked it first since it said anything; 0: it has spoken */
     bool is_candidate;
     bool is_evacuated; /* its data centre is */
+    uint8_t region;    /* of its data centre: lc_view_region */
     bool is_accepting;
     bool looks_bad;
     bool is_warm;
@@ -128,19 +130,22 @@
                               const LcService *service,
                               LcEndpointId self_id,
                               int64_t now_us);
-  /* Marks the members whose data centres the view has as evacuated. */
-  void lc_assign_set_evacuated (LcAssign *assign, const LcView *view);
+  /* Notes of each member what the view says of its data centre: whether it is evacuated, and the
+   * region. */
+  void lc_assign_set_places (LcAssign *assign, const LcView *view);
   LcAssignPeer *lc_assign_peer (const LcAssign *assign, LcEndpointId id);
   void lc_assign_report (LcAssign *assign, const LcFlowLoad *load, int64_t now_us);
   /* The endpoint refused a flow: it is passed over for a second. */
   void lc_assign_refused (LcAssign *assign, LcEndpointId id, int64_t now_us);
-  int lc_assign_choose (LcAssign *assign, uint64_t key_hash, LcDcId dc, int64_t now_us);
+  /* An endpoint in one of these regions. */
+  int lc_assign_choose (
+      LcAssign *assign, uint64_t key_hash, LcDcId dc, LcRegionMask regions, int64_t now_us);
   void lc_assign_note (LcAssign *assign, int index);
 
   /* Whether at least as many others take new flows and look good as look bad, this one among them:
    * the guard that lc_assign_choose keeps, for an endpoint that was chosen by who did not know yet.
    */
-  bool lc_assign_may_leave_out_self (LcAssign *assign, int64_t now_us);
+  bool lc_assign_may_leave_out_self (LcAssign *assign, LcRegionMask regions, int64_t now_us);
   /* Capacity in thousandths of a nominal endpoint. */
   uint32_t lc_assign_capacity (const LcAssign *assign, const LcAssignPeer *peer, int64_t now_us);
 
--- a/src/core/flow/lc-candidates.c
+++ b/src/core/flow/lc-candidates.c
@@ -89,6 +89,7 @@
   member->seed = XXH3_64bits (&e->id, sizeof e->id);
   member->weight_percent = e->weight_percent;
   member->dc = e->dc;
+  member->region = LC_REGION_NONE;
   if (set->n > 0 && sets->members[set->first].weight_percent != e->weight_percent)
     set->is_weighted = true;
   set->n++;
@@ -152,6 +153,13 @@
       lc_candidates__add_former (sets, service, &service->former[i]);
 }
 
+void
+lc_candidate_sets_place (LcCandidateSets *sets, const LcView *view)
+{
+  for (uint32_t i = 0; i < sets->n_members; i++)
+    sets->members[i].region = lc_view_region (view, sets->members[i].dc);
+}
+
 void
 lc_candidate_sets_copy (LcCandidateSets *to, const LcCandidateSets *from)
 {
@@ -169,12 +177,14 @@
 
 /* === public: choice ========================================================================= */
 
-/* `is_weighted` is a constant at both calls, so that the plain loop has no branch for it. */
+/* `is_weighted` and `regions` are constants at the calls for services whose flows may go anywhere,
+ * so that the plain loop has no branch for them. */
 static inline __attribute__ ((always_inline)) uint32_t
 lc_candidates__top (const LcSetMember *members,
                     uint32_t n,
                     uint64_t key_hash,
                     bool is_weighted,
+                    LcRegionMask regions,
                     const LcSetMember *homes[LC_HOMES])
 {
   uint64_t first = 0;
@@ -184,7 +194,9 @@
 
   for (uint32_t i = 0; i < n; i++)
     {
-      uint64_t score = lc_candidates__score (&members[i], key_hash, is_weighted) | 1U;
+      uint64_t score = lc_region_is_in (regions, members[i].region)
+                           ? lc_candidates__score (&members[i], key_hash, is_weighted) | 1U
+                           : 0;
       bool is_first = score > first;
       bool is_second = score > second;
 
@@ -202,24 +214,28 @@
 lc_candidates_homes (const LcCandidateSets *sets,
                      uint32_t set_index,
                      uint64_t key_hash,
+                     LcRegionMask regions,
                      const LcSetMember *homes[LC_HOMES])
 {
   const LcCandidateSet *set = &sets->sets[set_index];
   const LcSetMember *members = &sets->members[set->first];
 
+  if (regions != LC_REGIONS_ALL)
+    return lc_candidates__top (members, set->n, key_hash, set->is_weighted, regions, homes);
   if (set->is_weighted)
-    return lc_candidates__top (members, set->n, key_hash, true, homes);
-  return lc_candidates__top (members, set->n, key_hash, false, homes);
+    return lc_candidates__top (members, set->n, key_hash, true, LC_REGIONS_ALL, homes);
+  return lc_candidates__top (members, set->n, key_hash, false, LC_REGIONS_ALL, homes);
 }
 
-/* The best of the newest set that is not `other`; in `dc` if `is_inside`, else anywhere; suspect
- * ones only if `is_any`. */
+/* The best of the newest set in these regions that is not `other`; in `dc` if `is_inside`, else
+ * anywhere; suspect ones only if `is_any`. */
 static const LcSetMember *
 lc_candidates__best (const LcCandidateSets *sets,
                      uint64_t key_hash,
                      LcDcId dc,
                      bool is_inside,
                      bool is_any,
+                     LcRegionMask regions,
                      const LcSetMember *other)
 {
   const LcCandidateSet *set = &sets->sets[0];
@@ -232,7 +248,7 @@
       uint64_t score = lc_candidates__score (m, key_hash, set->is_weighted) | 1U;
 
       if (m == other || (is_inside && m->dc != dc) || (m->is_suspect && !is_any) ||
-          score <= best_score)
+          score <= best_score || !lc_region_is_in (regions, m->region))
         continue;
       best = m;
       best_score = score;
@@ -244,6 +260,7 @@
 lc_candidates_near_homes (const LcCandidateSets *sets,
                           uint64_t key_hash,
                           LcDcId dc,
+                          LcRegionMask regions,
                           const LcSetMember *homes[LC_HOMES])
 {
   uint32_t n = 0;
@@ -251,12 +268,13 @@
   while (sets->n_sets > 0 && n < LC_HOMES)
     {
       const LcSetMember *before = n > 0 ? homes[n - 1] : NULL;
-      const LcSetMember *best = lc_candidates__best (sets, key_hash, dc, true, false, before);
+      const LcSetMember *best =
+          lc_candidates__best (sets, key_hash, dc, true, false, regions, before);
 
       if (best == NULL)
-        best = lc_candidates__best (sets, key_hash, dc, false, false, before);
+        best = lc_candidates__best (sets, key_hash, dc, false, false, regions, before);
       if (best == NULL)
-        best = lc_candidates__best (sets, key_hash, dc, false, true, before);
+        best = lc_candidates__best (sets, key_hash, dc, false, true, regions, before);
       if (best == NULL)
         break;
       homes[n++] = best;
@@ -289,12 +307,13 @@
 lc_candidates__add_set (const LcCandidateSets *sets,
                         uint32_t set,
                         uint64_t key_hash,
+                        LcRegionMask regions,
                         LcCandidateList *list)
 {
   bool is_oldest = set + 1 == sets->n_sets;
   uint8_t limit = is_oldest ? LC_CANDIDATES_MAX : LC_CANDIDATES_MAX - LC_HOMES;
   const LcSetMember *homes[LC_HOMES];
-  uint32_t n = lc_candidates_homes (sets, set, key_hash, homes);
+  uint32_t n = lc_candidates_homes (sets, set, key_hash, regions, homes);
 
   if (n == 0)
     return;
@@ -302,6 +321,8 @@
     {
       for (uint32_t i = 0; i < n; i++)
         (void)lc_candidates__add (list, &homes[i]->candidate, limit);
+      if (set == 0)
+        list->n_current = list->n;
       list->assigner = 0;
     }
   else
@@ -315,11 +336,15 @@
 }
 
 void
-lc_candidates_pick (const LcCandidateSets *sets, uint64_t key_hash, LcCandidateList *list)
+lc_candidates_pick (const LcCandidateSets *sets,
+                    uint64_t key_hash,
+                    LcRegionMask regions,
+                    LcCandidateList *list)
 {
   list->n = 0;
+  list->n_current = 0;
   list->assigner = 0;
   list->set_rank = UINT64_MAX;
   for (uint32_t i = 0; i < sets->n_sets; i++)
-    lc_candidates__add_set (sets, i, key_hash, list);
+    lc_candidates__add_set (sets, i, key_hash, regions, list);
 }
--- a/src/core/flow/lc-candidates.h
+++ b/src/core/flow/lc-candidates.h
@@ -57,6 +57,7 @@
     uint64_t seed; /* of the endpoint's id */
     uint16_t weight_percent;
     LcDcId dc;
+    uint8_t region;  /* lc_view_region; LC_REGION_NONE until lc_candidate_sets_place */
     bool is_suspect; /* it does not answer (lc-reach.h): not a home while there are others */
   } LcSetMember;
 
@@ -82,21 +83,29 @@
   {
     LcCandidate items[LC_CANDIDATES_MAX];
     uint8_t n;
+    uint8_t n_current;   /* homes of the newest set: the list begins with them */
     uint8_t assigner;    /* index; counts when n > 0 */
     LcRevision set_rank; /* until_revision of the assigner's set: lower is older */
   } LcCandidateList;
 
   /* Replaces what the sets held.  Former members that the view knows to be gone are left out. */
   void lc_candidate_sets_compile (LcCandidateSets *sets, const LcService *service);
+  /* Notes the regions of the members' data centres: before choices that are kept to regions. */
+  void lc_candidate_sets_place (LcCandidateSets *sets, const LcView *view);
   void lc_candidate_sets_copy (LcCandidateSets *to, const LcCandidateSets *from);
   void lc_candidate_sets_finish (LcCandidateSets *sets);
 
-  void lc_candidates_pick (const LcCandidateSets *sets, uint64_t key_hash, LcCandidateList *list);
+  /* Of each set the homes in these regions. */
+  void lc_candidates_pick (const LcCandidateSets *sets,
+                           uint64_t key_hash,
+                           LcRegionMask regions,
+                           LcCandidateList *list);
 
   /* Homes of one set by choice; returns how many (at most LC_HOMES). */
   uint32_t lc_candidates_homes (const LcCandidateSets *sets,
                                 uint32_t set,
                                 uint64_t key_hash,
+                                LcRegionMask regions,
                                 const LcSetMember *homes[LC_HOMES]);
 
   /* Homes of the newest set for a flow whose packets come in at one data centre: the first choices
@@ -105,6 +114,7 @@
   uint32_t lc_candidates_near_homes (const LcCandidateSets *sets,
                                      uint64_t key_hash,
                                      LcDcId dc,
+                                     LcRegionMask regions,
                                      const LcSetMember *homes[LC_HOMES]);
 
   static inline bool
--- a/src/core/flow/lc-envelope.c
+++ b/src/core/flow/lc-envelope.c
@@ -151,6 +151,7 @@
     [LC_DROP_NO_SERVICE] = "no-service",
     [LC_DROP_NO_MEMORY] = "no-memory",
     [LC_DROP_EVACUATED] = "evacuated",
+    [LC_DROP_NO_HOME] = "no-home",
   };
 
   return reason < LC_N_DROP_REASONS ? NAMES[reason] : "unknown";
--- a/src/core/flow/lc-envelope.h
+++ b/src/core/flow/lc-envelope.h
@@ -79,6 +79,7 @@
     LC_DROP_NO_SERVICE = 8, /* no service at this address */
     LC_DROP_NO_MEMORY = 9,  /* the flow table is full */
     LC_DROP_EVACUATED = 10, /* the data centre of the target, or of every endpoint, is evacuated */
+    LC_DROP_NO_HOME = 11,   /* the target is in no region that the flow is kept to */
     LC_N_DROP_REASONS
   } LcDropReason;
 
--- a/src/core/flow/lc-flow-agent-packet.c
+++ b/src/core/flow/lc-flow-agent-packet.c
@@ -16,12 +16,31 @@
   return a->view != NULL && lc_view_is_evacuated (a->view, a->dc);
 }
 
+LcRegionMask
+lc_flow_agent__home_regions (const LcFlowAgent *a, const LcFlowKey *key)
+{
+  const LcAddress *address =
+      a->view != NULL ? lc_view_address (a->view, key->target_ipv4, key->target_port, key->protocol)
+                      : NULL;
+
+  return address != NULL ? lc_view_home_regions (a->view, address->homes) : LC_REGIONS_ALL;
+}
+
+bool
+lc_flow_agent__is_home (const LcFlowAgent *a, const LcFlowKey *key)
+{
+  LcRegionMask regions = lc_flow_agent__home_regions (a, key);
+
+  return regions == LC_REGIONS_ALL || lc_region_is_in (regions, lc_view_region (a->view, a->dc));
+}
+
 static LcSteerSelf
-lc_flow_agent__self (const LcFlowAgent *a)
+lc_flow_agent__self (const LcFlowAgent *a, const LcFlowKey *key)
 {
   return (LcSteerSelf){ .agent = a->desc.self,
                         .service_id = a->desc.service_id,
-                        .is_leaving = a->is_leaving || lc_flow_agent__is_evacuated (a),
+                        .is_leaving = a->is_leaving || lc_flow_agent__is_evacuated (a) ||
+                                      !lc_flow_agent__is_home (a, key),
                         .is_full = lc_flow_agent_open_flows (a) >= a->desc.connection_limit,
                         .is_cut_off = a->is_cut_off,
                         .is_settled = lc_candidate_sets_settled (&a->sets) };
@@ -260,7 +279,8 @@
   if (e->mode == LC_MODE_REFUSED)
     lc_assign_refused (&a->assign, e->stray_id, now_us);
   lc_flow_agent__refresh_self (a, now_us);
-  i = lc_assign_choose (&a->assign, lc_flow_key_hash (&packet->key), e->dc, now_us);
+  i = lc_assign_choose (&a->assign, lc_flow_key_hash (&packet->key), e->dc,
+                        lc_flow_agent__home_regions (a, &packet->key), now_us);
   if (i < 0)
     return lc_flow_agent__drop (a, a->assign.failure);
   a->counts.assigned_total++;
@@ -444,7 +464,7 @@
     LcFlowAgent *a, LcEnvelope *e, const LcPacket *packet, int64_t now_us, bool may_renew)
 {
   LcFlow *f = lc_flow_table_find (&a->table, &packet->key, lc_flow_key_hash (&packet->key));
-  LcSteerSelf self = lc_flow_agent__self (a);
+  LcSteerSelf self = lc_flow_agent__self (a, &packet->key);
   LcSteerKnown known = lc_flow_agent__known (a, f);
   uint8_t assigner = e->assigner; /* entries of a list keep their places: it only grows */
   LcSteer s;
--- a/src/core/flow/lc-flow-agent-private.h
+++ b/src/core/flow/lc-flow-agent-private.h
@@ -22,6 +22,10 @@
   bool lc_flow_agent__looks_bad (const LcFlowAgent *agent, int64_t now_us);
   LcSteerKnown lc_flow_agent__known (const LcFlowAgent *agent, const LcFlow *flow);
   bool lc_flow_agent__is_evacuated (const LcFlowAgent *agent);
+  /* The regions that new flows to this key's target are kept to, by the newest view here. */
+  LcRegionMask lc_flow_agent__home_regions (const LcFlowAgent *agent, const LcFlowKey *key);
+  /* Whether this agent's backend server is in one of them. */
+  bool lc_flow_agent__is_home (const LcFlowAgent *agent, const LcFlowKey *key);
   bool lc_flow_agent__is_accepting (const LcFlowAgent *agent);
   /* Whether one more new flow may be given to the backend server now: it accepts, and if it is
    * cold its rate is not spent. */
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -5,6 +5,7 @@
 #include "lc-flow-return.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 enum
 {
@@ -134,6 +135,36 @@
   lc_cold_limit_set_rate (&a->firsts, service != NULL ? service->cold_rate_mrps : 0);
 }
 
+/* What decides which homes of the sets count.  The order of the addresses does not matter. */
+static uint64_t
+lc_flow_agent__homes_digest (const LcView *view)
+{
+  uint64_t digest = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, view->addresses);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const LcAddress *a = value;
+      uint64_t words[3] = { ((uint64_t)a->ipv4 << 16) | a->port, a->protocol,
+                            lc_view_home_regions (view, a->homes) };
+
+      digest += XXH3_64bits (words, sizeof words);
+    }
+  return digest;
+}
+
+/* Acknowledgements are carried over from the list before only where the same regions made it. */
+static void
+lc_flow_agent__note_homes (LcFlowAgent *a, const LcView *view)
+{
+  uint64_t digest = lc_flow_agent__homes_digest (view);
+
+  a->sets_version += digest == a->homes_digest ? 1 : 2;
+  a->homes_digest = digest;
+}
+
 /* === public: lifetime and view ============================================================== */
 
 void
@@ -197,13 +228,14 @@
 
   a->view = view;
   lc_assign_set_members (&a->assign, service, a->desc.self.id, now_us);
-  lc_assign_set_evacuated (&a->assign, view);
+  lc_assign_set_places (&a->assign, view);
   lc_candidate_sets_finish (&a->previous_sets);
   a->previous_sets = a->sets;
   memset (&a->sets, 0, sizeof a->sets);
   lc_candidate_sets_compile (&a->sets, service);
+  lc_candidate_sets_place (&a->sets, view);
   lc_flow_list_remember_settling (a, now_us);
-  a->sets_version++;
+  lc_flow_agent__note_homes (a, view);
   lc_flow_pointers_sets_changed (a);
   lc_flow_agent__set_server (a, service);
   if (a->searches != NULL)
--- a/src/core/flow/lc-flow-agent.h
+++ b/src/core/flow/lc-flow-agent.h
@@ -185,6 +185,7 @@
     int64_t settling_until_us;
     int64_t settling_from_us;
     uint32_t sets_version;
+    uint64_t homes_digest; /* of the addresses with homes, and where those are, in the view */
     uint32_t n_behind;
     uint32_t n_adopted; /* owned, of another's backend server */
     LcFlowGate gate;    /* requests that the backend server works on, and those that wait */
--- a/src/core/flow/lc-flow-balancer.c
+++ b/src/core/flow/lc-flow-balancer.c
@@ -50,11 +50,13 @@
     return sets;
   sets = g_new0 (LcCandidateSets, 1);
   lc_candidate_sets_compile (sets, lc_view_service (b->view, id));
+  lc_candidate_sets_place (sets, b->view);
   g_hash_table_insert (b->services, GUINT_TO_POINTER (id), sets);
   return sets;
 }
 
-static const LcCandidateSets *
+/* NULL: no service at the packet's target. */
+static const LcFlowBalancerEntry *
 lc_flow_balancer__find (LcFlowBalancer *b, const LcFlowKey *key)
 {
   uint32_t x = (key->target_ipv4 ^ ((uint32_t)key->target_port << 8) ^ key->protocol) * 0x9e3779b1U;
@@ -63,13 +65,14 @@
 
   if (entry->sets != NULL && entry->ipv4 == key->target_ipv4 && entry->port == key->target_port &&
       entry->protocol == key->protocol)
-    return entry->sets;
+    return entry;
   address = lc_view_address (b->view, key->target_ipv4, key->target_port, key->protocol);
   if (address == NULL)
     return NULL;
   *entry = (LcFlowBalancerEntry){ key->target_ipv4, key->target_port, key->protocol,
+                                  lc_view_home_regions (b->view, address->homes),
                                   lc_flow_balancer__sets (b, address->service_id) };
-  return entry->sets;
+  return entry;
 }
 
 static bool
@@ -85,20 +88,26 @@
 
 /* Most packets: one set, whose homes are the whole list. */
 static bool
-lc_envelope__fill_settled (LcEnvelope *e, const LcCandidateSets *sets, uint64_t key_hash)
+lc_envelope__fill_settled (LcEnvelope *e,
+                           const LcCandidateSets *sets,
+                           uint64_t key_hash,
+                           LcRegionMask regions)
 {
   const LcSetMember *homes[LC_HOMES];
-  uint32_t n = lc_candidates_homes (sets, 0, key_hash, homes);
+  uint32_t n = lc_candidates_homes (sets, 0, key_hash, regions, homes);
 
   return lc_envelope__put_homes (e, homes, n);
 }
 
 static bool
-lc_envelope__fill_unsettled (LcEnvelope *e, const LcCandidateSets *sets, uint64_t key_hash)
+lc_envelope__fill_unsettled (LcEnvelope *e,
+                             const LcCandidateSets *sets,
+                             uint64_t key_hash,
+                             LcRegionMask regions)
 {
   LcCandidateList list;
 
-  lc_candidates_pick (sets, key_hash, &list);
+  lc_candidates_pick (sets, key_hash, regions, &list);
   e->n = list.n;
   e->assigner = list.assigner;
   e->set_rank = list.set_rank;
@@ -108,10 +117,11 @@
 
 /* The homes in the data centre, where agents find owners without a settled list. */
 static bool
-lc_envelope__fill_near (LcEnvelope *e, const LcCandidateSets *sets, uint64_t key_hash, LcDcId dc)
+lc_envelope__fill_near (
+    LcEnvelope *e, const LcCandidateSets *sets, uint64_t key_hash, LcRegionMask regions, LcDcId dc)
 {
   const LcSetMember *homes[LC_HOMES];
-  uint32_t n = lc_candidates_near_homes (sets, key_hash, dc, homes);
+  uint32_t n = lc_candidates_near_homes (sets, key_hash, dc, regions, homes);
 
   return lc_envelope__put_homes (e, homes, n);
 }
@@ -130,10 +140,13 @@
 }
 
 bool
-lc_envelope_fill (LcEnvelope *e, const LcCandidateSets *sets, uint64_t key_hash)
+lc_envelope_fill (LcEnvelope *e,
+                  const LcCandidateSets *sets,
+                  uint64_t key_hash,
+                  LcRegionMask regions)
 {
-  bool is_filled = sets->n_sets == 1 ? lc_envelope__fill_settled (e, sets, key_hash)
-                                     : lc_envelope__fill_unsettled (e, sets, key_hash);
+  bool is_filled = sets->n_sets == 1 ? lc_envelope__fill_settled (e, sets, key_hash, regions)
+                                     : lc_envelope__fill_unsettled (e, sets, key_hash, regions);
 
   return lc_envelope__start (e, sets, is_filled);
 }
@@ -215,13 +228,16 @@
 
 static bool
 lc_flow_balancer__list (const LcFlowBalancer *b,
-                        const LcCandidateSets *sets,
+                        const LcFlowBalancerEntry *target,
                         uint64_t key_hash,
                         LcEnvelope *e)
 {
+  const LcCandidateSets *sets = target->sets;
+
   if (!b->is_returning)
-    return lc_envelope_fill (e, sets, key_hash);
-  if (lc_envelope__start (e, sets, lc_envelope__fill_near (e, sets, key_hash, b->dc)))
+    return lc_envelope_fill (e, sets, key_hash, target->regions);
+  if (lc_envelope__start (e, sets,
+                          lc_envelope__fill_near (e, sets, key_hash, target->regions, b->dc)))
     return true;
   return lc_flow_balancer__any_endpoint (b, sets->service_id, key_hash, e);
 }
@@ -230,9 +246,9 @@
 lc_flow_balancer_steer (LcFlowBalancer *b, const LcPacket *packet, LcEnvelope *e, LcCandidate *to)
 {
   const LcFlowKey *key = &packet->key;
-  const LcCandidateSets *sets = b->view != NULL ? lc_flow_balancer__find (b, key) : NULL;
+  const LcFlowBalancerEntry *target = b->view != NULL ? lc_flow_balancer__find (b, key) : NULL;
 
-  if (sets == NULL)
+  if (target == NULL)
     return -LC_DROP_NO_SERVICE;
   e->hops_left = LC_ENVELOPE_HOPS;
   e->refusal = LC_DROP_NONE;
@@ -242,10 +258,10 @@
   e->stray_instance = 0;
   e->hop = 0;
   e->assigner = 0;
-  if (!lc_flow_balancer__list (b, sets, lc_flow_key_hash (key), e))
+  if (!lc_flow_balancer__list (b, target, lc_flow_key_hash (key), e))
     return -LC_DROP_NO_ENDPOINT;
   if (b->is_cut_off && !b->is_returning)
-    lc_flow_balancer__detour (b, sets, e);
+    lc_flow_balancer__detour (b, target->sets, e);
   *to = e->candidates[0];
   return 0;
 }
--- a/src/core/flow/lc-flow-balancer.h
+++ b/src/core/flow/lc-flow-balancer.h
@@ -37,6 +37,7 @@
     uint32_t ipv4;
     uint16_t port;
     uint8_t protocol;
+    LcRegionMask regions;        /* that new flows to it are kept to */
     const LcCandidateSets *sets; /* NULL: empty */
   } LcFlowBalancerEntry;
 
@@ -77,7 +78,10 @@
                               LcCandidate *to);
 
   /* The list of one flow as an envelope; shared with agents that renew a stale list. */
-  bool lc_envelope_fill (LcEnvelope *envelope, const LcCandidateSets *sets, uint64_t key_hash);
+  bool lc_envelope_fill (LcEnvelope *envelope,
+                         const LcCandidateSets *sets,
+                         uint64_t key_hash,
+                         LcRegionMask regions);
 
 #ifdef __cplusplus
 }
--- a/src/core/flow/lc-flow-list.c
+++ b/src/core/flow/lc-flow-list.c
@@ -1,5 +1,6 @@
 #include "lc-flow-list.h"
 
+#include "lc-flow-agent-private.h"
 #include "lc-flow-balancer.h"
 
 /* Names the assigner, adding it to the list when it is not there. */
@@ -24,15 +25,17 @@
 lc_flow_list_renew (LcFlowAgent *a, LcEnvelope *e, const LcPacket *packet)
 {
   uint64_t hash = lc_flow_key_hash (&packet->key);
+  LcRegionMask regions = lc_flow_agent__home_regions (a, &packet->key);
   LcCandidateSets other = { 0 };
   bool is_filled;
 
   if (e->service_id == a->desc.service_id)
-    is_filled = lc_envelope_fill (e, &a->sets, hash);
+    is_filled = lc_envelope_fill (e, &a->sets, hash, regions);
   else
     {
       lc_candidate_sets_compile (&other, lc_view_service (a->view, e->service_id));
-      is_filled = lc_envelope_fill (e, &other, hash);
+      lc_candidate_sets_place (&other, a->view);
+      is_filled = lc_envelope_fill (e, &other, hash, regions);
       lc_candidate_sets_finish (&other);
     }
   if (is_filled)
@@ -99,7 +102,8 @@
   if (now_us >= a->settling_until_us || e->mode != LC_MODE_WALK || !packet->may_open ||
       e->service_id != a->desc.service_id)
     return;
-  lc_candidates_pick (&a->settling_sets, lc_flow_key_hash (&packet->key), &list);
+  lc_candidates_pick (&a->settling_sets, lc_flow_key_hash (&packet->key),
+                      lc_flow_agent__home_regions (a, &packet->key), &list);
   if (list.n == 0 || list.set_rank >= e->set_rank)
     return;
   for (uint8_t i = 0; i < list.n && e->n < LC_CANDIDATES_MAX; i++)
--- a/src/core/flow/lc-flow-pointers.c
+++ b/src/core/flow/lc-flow-pointers.c
@@ -51,14 +51,17 @@
                         const LcFlow *f,
                         LcCandidateList *list)
 {
+  LcRegionMask regions = lc_flow_agent__home_regions (a, &f->key);
+  uint64_t hash = lc_flow_key_hash (&f->key);
   const LcSetMember *homes[LC_HOMES];
 
   if (!a->desc.is_returning)
     {
-      lc_candidates_pick (sets, lc_flow_key_hash (&f->key), list);
+      lc_candidates_pick (sets, hash, regions, list);
       return;
     }
-  list->n = (uint8_t)lc_candidates_near_homes (sets, lc_flow_key_hash (&f->key), f->dc, homes);
+  list->n = (uint8_t)lc_candidates_near_homes (sets, hash, f->dc, regions, homes);
+  list->n_current = list->n;
   list->assigner = 0;
   list->set_rank = UINT64_MAX;
   for (uint8_t i = 0; i < list->n; i++)
@@ -67,14 +70,9 @@
 
 /* The bits of the current set's homes: the list begins with them. */
 static uint16_t
-lc_flow_pointers__current (const LcFlowAgent *a, const LcCandidateList *list)
+lc_flow_pointers__current (const LcCandidateList *list)
 {
-  uint32_t n = a->sets.n_sets > 0 ? a->sets.sets[0].n : 0;
-  uint32_t homes = n < LC_HOMES ? n : LC_HOMES;
-
-  if (homes > list->n)
-    homes = list->n;
-  return (uint16_t)((1U << homes) - 1);
+  return (uint16_t)((1U << list->n_current) - 1);
 }
 
 /* === private: state of one owned flow ======================================================= */
@@ -94,7 +92,7 @@
 static void
 lc_flow_pointers__settle (LcFlowAgent *a, LcFlow *f, const LcCandidateList *list)
 {
-  uint16_t current = lc_flow_pointers__current (a, list);
+  uint16_t current = lc_flow_pointers__current (list);
 
   f->acked |= lc_flow_pointers__bit_of (list, &a->desc.self);
   lc_flow_pointers__set_behind (a, f, (f->acked & current) != current);
@@ -420,7 +418,8 @@
 
   if (a->sets.n_sets == 0)
     return false;
-  n = lc_candidates_homes (&a->sets, 0, lc_flow_key_hash (&f->key), homes);
+  n = lc_candidates_homes (&a->sets, 0, lc_flow_key_hash (&f->key),
+                           lc_flow_agent__home_regions (a, &f->key), homes);
   for (uint32_t i = 0; i < n; i++)
     if (homes[i]->candidate.id != a->desc.self.id)
       {
--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -100,9 +100,13 @@
   if (!lc_flow_agent__is_accepting (a))
     return lc_flow_agent__refuse (
         a, e, lc_flow_agent__is_evacuated (a) ? LC_DROP_EVACUATED : LC_DROP_LEAVING);
+  if (!lc_flow_agent__is_home (a, &packet->key))
+    return lc_flow_agent__refuse (a, e, LC_DROP_NO_HOME);
   if (!lc_flow_agent__may_take (a, now_us))
     return lc_flow_agent__refuse (a, e, LC_DROP_LIMIT);
-  if (lc_flow_agent__looks_bad (a, now_us) && lc_assign_may_leave_out_self (&a->assign, now_us))
+  if (lc_flow_agent__looks_bad (a, now_us) &&
+      lc_assign_may_leave_out_self (&a->assign, lc_flow_agent__home_regions (a, &packet->key),
+                                    now_us))
     return lc_flow_agent__refuse (a, e, LC_DROP_LIMIT);
   return lc_flow_return__marked (a, lc_flow_agent__take (a, f, packet, now_us), e, packet, now_us);
 }
@@ -204,7 +208,8 @@
 {
   if (f == NULL || f->kind != LC_FLOW_OWNED)
     return false;
-  return !lc_flow_return__opens_again (f, packet) || lc_flow_agent__may_take (a, now_us);
+  return !lc_flow_return__opens_again (f, packet) ||
+         (lc_flow_agent__may_take (a, now_us) && lc_flow_agent__is_home (a, &packet->key));
 }
 
 static void
--- /dev/null
+++ b/src/core/lc-homes.c
@@ -0,0 +1,42 @@
+#include "lc-homes.h"
+
+#include <glib.h>
+#include <string.h>
+
+int
+lc_homes_add (char homes[LC_HOMES_BYTES], const char *region, LcError *error)
+{
+  size_t used = strlen (homes);
+  size_t len = strlen (region);
+
+  if (len == 0 || len >= LC_NAME_MAX || strchr (region, ',') != NULL)
+    return lc_error_set (error, LC_ERR_INVALID, "name the regions as the data centres name theirs",
+                         "a home is no region's name of 1 to %d bytes", LC_NAME_MAX - 1);
+  if (lc_homes_has (homes, region))
+    return 0;
+  if (used + (used > 0) + len >= LC_HOMES_BYTES)
+    return lc_error_set (error, LC_ERR_INVALID, "name fewer regions, or leave homes out",
+                         "the homes of an address take more than %d bytes", LC_HOMES_BYTES - 1);
+  if (used > 0)
+    homes[used++] = ',';
+  memcpy (&homes[used], region, len + 1);
+  return 0;
+}
+
+bool
+lc_homes_has (const char *homes, const char *region)
+{
+  size_t len = strlen (region);
+
+  if (len == 0)
+    return false;
+  for (const char *at = homes; *at != '\0';)
+    {
+      const char *end = strchrnul (at, ',');
+
+      if ((size_t)(end - at) == len && memcmp (at, region, len) == 0)
+        return true;
+      at = *end == ',' ? end + 1 : end;
+    }
+  return false;
+}
--- a/src/core/lc-view-look.c
+++ b/src/core/lc-view-look.c
@@ -88,6 +88,42 @@
   return NULL;
 }
 
+/* The place of the first data centre of the same region stands for the region. */
+static uint8_t
+lc_view__region_at (const LcView *view, guint place)
+{
+  const char *region = g_array_index (view->dcs, LcDataCentre, place).region;
+  guint i = 0;
+
+  if (region[0] == '\0')
+    return LC_REGION_NONE;
+  while (strcmp (g_array_index (view->dcs, LcDataCentre, i).region, region) != 0)
+    i++;
+  return i < LC_REGIONS_MAX ? (uint8_t)i : LC_REGION_NONE;
+}
+
+uint8_t
+lc_view_region (const LcView *view, LcDcId id)
+{
+  for (guint i = 0; i < view->dcs->len; i++)
+    if (g_array_index (view->dcs, LcDataCentre, i).id == id)
+      return lc_view__region_at (view, i);
+  return LC_REGION_NONE;
+}
+
+LcRegionMask
+lc_view_home_regions (const LcView *view, const char *homes)
+{
+  LcRegionMask mask = 0;
+
+  if (homes[0] == '\0')
+    return LC_REGIONS_ALL;
+  for (guint i = 0; i < MIN (view->dcs->len, (guint)LC_REGIONS_MAX); i++)
+    if (lc_homes_has (homes, g_array_index (view->dcs, LcDataCentre, i).region))
+      mask |= (LcRegionMask)1 << lc_view__region_at (view, i);
+  return mask;
+}
+
 bool
 lc_view_is_evacuated (const LcView *view, LcDcId id)
 {
--- a/src/core/lc-view.h
+++ b/src/core/lc-view.h
@@ -38,6 +38,7 @@
 #define LC_VIEW_H
 
 #include "lc-error.h"
+#include "lc-homes.h"
 #include "lc-types.h"
 
 #include <glib.h>
@@ -123,6 +124,7 @@
     uint16_t port;
     uint8_t protocol; /* LcProtocol */
     LcServiceId service_id;
+    char homes[LC_HOMES_BYTES]; /* regions that its new flows are kept to; "": every one */
   } LcAddress;
 
   /* Where requests arrive: the longest path prefix of a matching host wins; host "" is any. */
@@ -213,6 +215,10 @@
   const LcEndpoint *lc_view_endpoint_by_name (const LcView *view, const char *name);
   const LcDataCentre *lc_view_dc (const LcView *view, LcDcId id);
   const LcDataCentre *lc_view_dc_by_name (const LcView *view, const char *name);
+  /* Which of the view's regions the data centre is in; LC_REGION_NONE: not known. */
+  uint8_t lc_view_region (const LcView *view, LcDcId id);
+  /* The regions of the view that these homes (lc-homes.h) name; LC_REGIONS_ALL: there are none. */
+  LcRegionMask lc_view_home_regions (const LcView *view, const char *homes);
   /* Whether the data centre is evacuated; one that is not known is not. */
   bool lc_view_is_evacuated (const LcView *view, LcDcId id);
   const LcBalancer *lc_view_balancer (const LcView *view, LcBalancerId id);
--- a/src/core/member/lc-member-change.h
+++ b/src/core/member/lc-member-change.h
@@ -34,6 +34,7 @@
 {
   LcMemberChangeKind kind;
   char data_centre[LC_NAME_MAX]; /* of the endpoint or balancer, by name */
+  char region[LC_NAME_MAX];      /* of the data centre, as the balancer's settings say; may be "" */
   char service[LC_NAME_MAX];     /* of the endpoint, by name */
   union
   {
--- a/src/core/member/lc-scope.c
+++ b/src/core/member/lc-scope.c
@@ -21,6 +21,14 @@
   return service->id == scope->service_id;
 }
 
+/* An agent is told where the flows of its service may go, and nothing of addresses that leave it
+ * free.  The operation that takes homes away names them. */
+static bool
+lc_scope__wants_address (const LcScope *scope, const LcAddress *address)
+{
+  return address->service_id == scope->service_id && address->homes[0] != '\0';
+}
+
 static void
 lc_scope__learn_dc (LcScope *scope, const LcDataCentre *dc)
 {
@@ -55,6 +63,7 @@
       return op->former.service_id == scope->service_id;
     case LC_VIEW_ADDRESS:
     case LC_VIEW_ADDRESS_REMOVED:
+      return lc_scope__wants_address (scope, &op->address);
     case LC_VIEW_ROUTE:
     case LC_VIEW_ROUTE_REMOVED:
       return false;
@@ -78,6 +87,22 @@
     }
 }
 
+static void
+lc_scope__addresses (const LcScope *scope, const LcView *view, LcViewEach each, void *user)
+{
+  LcViewOp op = { .revision = view->revision, .kind = LC_VIEW_ADDRESS };
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, view->addresses);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      op.address = *(const LcAddress *)value;
+      if (lc_scope__wants_address (scope, &op.address))
+        each (user, &op);
+    }
+}
+
 void
 lc_scope_snapshot (const LcScope *scope, const LcView *view, LcViewEach each, void *user)
 {
@@ -93,6 +118,7 @@
   s = lc_view_service (view, scope->service_id);
   if (s != NULL)
     lc_view_snapshot_service (view, s, each, user);
+  lc_scope__addresses (scope, view, each, user);
 }
 
 static size_t
--- a/src/core/member/lc-scope.h
+++ b/src/core/member/lc-scope.h
@@ -2,8 +2,9 @@
  *
  * WHAT IT IS
  *   A balancer needs the whole view.  An agent needs its own service with its endpoints and former
- *   sets, the balancers of its own data centre, and the data centres; it gets nothing of the other
- *   services, nor addresses and routes.  A relay filters operations and snapshots by the scope.
+ *   sets, those of its addresses that have homes, the balancers of its own data centre, and the
+ * data centres; it gets nothing of the other services, nor other addresses, nor routes.  A relay
+ *   filters operations and snapshots by the scope.
  *
  * HOW TO USE IT
  *     LcScope scope = { .is_scoped = true, .service = "order-desk", .data_centre = "hall-atl" };
--- a/src/io/lc-wire-member.c
+++ b/src/io/lc-wire-member.c
@@ -11,6 +11,7 @@
   lc__wire__member_change__init (&wire->message);
   wire->message.kind = change->kind;
   wire->message.data_centre = (char *)change->data_centre;
+  wire->message.region = (char *)change->region;
   wire->message.service = (char *)change->service;
   if (change->kind == LC_MEMBER_SETTLED)
     {
@@ -87,6 +88,8 @@
   memset (change, 0, sizeof *change);
   change->kind = (LcMemberChangeKind)message->kind;
   r = lc_wire_member__copy (change->data_centre, message->data_centre, error);
+  if (r == 0)
+    r = lc_wire_member__copy (change->region, message->region, error);
   if (r == 0)
     r = lc_wire_member__copy (change->service, message->service, error);
   return r < 0 ? r : lc_wire_member__read_body (change, message, error);
--- a/src/io/lc-wire-view.c
+++ b/src/io/lc-wire-view.c
@@ -101,6 +101,7 @@
   w->address.port = a->port;
   w->address.protocol = a->protocol;
   w->address.service_id = a->service_id;
+  w->address.homes = (char *)a->homes;
   w->op.address = &w->address;
   w->op.body_case = LC__WIRE__VIEW_OP__BODY_ADDRESS;
 }
@@ -302,13 +303,14 @@
                                      message->path_prefix, error);
 }
 
-static void
-lc_wire_view__read_address (LcAddress *address, const Lc__Wire__Address *message)
+static int
+lc_wire_view__read_address (LcAddress *address, const Lc__Wire__Address *message, LcError *error)
 {
   address->ipv4 = message->ipv4;
   address->port = (uint16_t)message->port;
   address->protocol = (uint8_t)message->protocol;
   address->service_id = message->service_id;
+  return lc_wire_view__copy (address->homes, sizeof address->homes, message->homes, error);
 }
 
 /* The body that an operation of this kind must carry. */
@@ -364,8 +366,7 @@
     case LC__WIRE__VIEW_OP__BODY_ENDPOINT:
       return lc_wire_endpoint_read (&op->endpoint, message->endpoint, error);
     case LC__WIRE__VIEW_OP__BODY_ADDRESS:
-      lc_wire_view__read_address (&op->address, message->address);
-      return 0;
+      return lc_wire_view__read_address (&op->address, message->address, error);
     case LC__WIRE__VIEW_OP__BODY_ROUTE:
       return lc_wire_view__read_route (&op->route, message->route, error);
     case LC__WIRE__VIEW_OP__BODY_SETTLED_REVISION:
--- a/tests/adapter/test-declaration.c
+++ b/tests/adapter/test-declaration.c
@@ -81,6 +81,23 @@
   { "prefix without port",
     DOCUMENT ("7", ROUTE ("198.18.0.1", "/", "\"timeoutMs\":1,\"backend\":\"a\"")), LC_ERR_INVALID,
     0, 0 },
+  { "homes",
+    DOCUMENT ("7",
+              ROUTE ("198.18.0.1",
+                     "/1/",
+                     "\"timeoutMs\":1,\"backend\":\"a\",\"allowedRegions\":[\"n\",\"s\"]")),
+    0, 1, 0 },
+  { "homes are no list",
+    DOCUMENT (
+        "7",
+        ROUTE ("198.18.0.1", "/1/", "\"timeoutMs\":1,\"backend\":\"a\",\"allowedRegions\":\"n\"")),
+    LC_ERR_INVALID, 0, 0 },
+  { "a home is a number",
+    DOCUMENT ("7",
+              ROUTE ("198.18.0.1",
+                     "/1/",
+                     "\"timeoutMs\":1,\"backend\":\"a\",\"allowedRegions\":[\"n\",1]")),
+    LC_ERR_INVALID, 0, 0 },
   { "route is a number", DOCUMENT ("7", "5"), LC_ERR_INVALID, 0, 0 },
 };
 
@@ -108,6 +125,30 @@
 }
 END_TEST
 
+START_TEST (test_homes)
+{
+  static const struct
+  {
+    const char *list;
+    const char *homes;
+  } READ[] = { { "[]", "" }, { "null", "" }, { "[\"n\"]", "n" }, { "[\"s\",\"n\",\"s\"]", "s,n" } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (READ); i++)
+    {
+      char *body = g_strdup_printf (
+          DOCUMENT ("7", ROUTE ("198.18.0.1", "/1/",
+                                "\"timeoutMs\":1,\"backend\":\"a\",\"allowedRegions\":%s")),
+          READ[i].list);
+      LcNumberedDeclaration n;
+
+      ck_assert_int_eq (lc_platform_declaration_read (&n, body, strlen (body), NULL), 0);
+      ck_assert_str_eq (n.declaration.services[0].addresses[0].homes, READ[i].homes);
+      lc_numbered_finish (&n);
+      g_free (body);
+    }
+}
+END_TEST
+
 /* A service is held to the strictest objective of its routes. */
 START_TEST (test_objectives)
 {
@@ -210,6 +251,7 @@
   TCase *tcase = tcase_create ("declaration");
 
   tcase_add_loop_test (tcase, test_read, 0, (int)(sizeof CASES / sizeof CASES[0]));
+  tcase_add_test (tcase, test_homes);
   tcase_add_test (tcase, test_objectives);
   tcase_add_test (tcase, test_cold_rates);
   tcase_add_test (tcase, test_a_megabyte);
--- a/tests/control/test-control-state.c
+++ b/tests/control/test-control-state.c
@@ -1,4 +1,5 @@
 /* Plans, confirms, resends, drains and member changes as tables of commands. */
+#include "core/member/lc-scope.h"
 #include "control/lc-control-codec.h"
 #include "core/control/lc-control-state.h"
 #include "proto/lc-control.pb-c.h"
@@ -413,6 +414,92 @@
 }
 END_TEST
 
+/* Homes are in the view with the declaration that names them, also after the command and the state
+ * were packed; an agent's part of the view, which holds addresses with homes alone, follows. */
+START_TEST (test_numbered_homes)
+{
+  static const char *const HOMES[] = { "", "north", "north", "south,north", "", "south" };
+  LcScope scope = { .is_scoped = true, .service = "one" };
+  LcView part;
+  World w = { 0 };
+
+  lc_control_state_init (&w.state);
+  lc_view_init (&part);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (HOMES); i++)
+    {
+      LcControlCommand c = { .kind = LC_COMMAND_NUMBERED };
+      LcControlCommand read;
+      LcDeclaredService *s = g_new0 (LcDeclaredService, 1);
+      const LcAddress *a;
+      GBytes *packed;
+      gsize len;
+      const uint8_t *bytes;
+
+      c.numbered.number = i + 1;
+      c.numbered.document = g_bytes_new_static ("a", 1);
+      c.numbered.declaration.n_services = 1;
+      c.numbered.declaration.services = s;
+      (void)g_strlcpy (s->name, "one", LC_NAME_MAX);
+      s->n_addresses = 1;
+      s->addresses = g_new0 (LcDeclaredAddress, 1);
+      s->addresses[0] = (LcDeclaredAddress){ 0xc6120001, 443, LC_PROTOCOL_TCP, "" };
+      (void)g_strlcpy (s->addresses[0].homes, HOMES[i], LC_HOMES_BYTES);
+      packed = lc_control_command_pack (&c);
+      bytes = g_bytes_get_data (packed, &len);
+      ck_assert_int_eq (lc_control_command_unpack (&read, bytes, len, NULL), 0);
+      lc_control_state_apply (&w.state, ++w.index, &read);
+      for (guint k = 0; k < w.state.ops->len; k++)
+        if (lc_scope_wants (&scope, &g_array_index (w.state.ops, LcViewOp, k)))
+          ck_assert_int_eq (lc_view_apply (&part, &g_array_index (w.state.ops, LcViewOp, k), NULL),
+                            0);
+      a = lc_view_address (&w.state.view, 0xc6120001, 443, LC_PROTOCOL_TCP);
+      ck_assert_str_eq (a->homes, HOMES[i]);
+      a = lc_view_address (&part, 0xc6120001, 443, LC_PROTOCOL_TCP);
+      ck_assert_str_eq (a != NULL ? a->homes : "", HOMES[i]);
+      g_bytes_unref (packed);
+      lc_control_command_finish (&read);
+      lc_control_command_finish (&c);
+    }
+  lc_view_finish (&part);
+  lc_control_state_finish (&w.state);
+}
+END_TEST
+
+/* The region that a balancer brings counts where no declaration has named another. */
+START_TEST (test_regions_come_with_balancers)
+{
+  static const struct
+  {
+    const char *known; /* region before; NULL: the data centre is new */
+    const char *announced;
+    const char *region;
+  } REGIONS[] = {
+    { NULL, "north", "north" },    { NULL, "", "" },         { "", "north", "north" },
+    { "south", "north", "south" }, { "south", "", "south" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (REGIONS); i++)
+    {
+      LcControlCommand c = { .kind = LC_COMMAND_MEMBER };
+      World w = { 0 };
+
+      lc_control_state_init (&w.state);
+      c.member.kind = LC_MEMBER_BALANCER_ANNOUNCED;
+      (void)g_strlcpy (c.member.data_centre, "hall-atl", LC_NAME_MAX);
+      for (LcInstance instance = REGIONS[i].known != NULL ? 1 : 2; instance <= 2; instance++)
+        {
+          (void)g_strlcpy (c.member.region, instance == 1 ? REGIONS[i].known : REGIONS[i].announced,
+                           LC_NAME_MAX);
+          (void)g_strlcpy (c.member.balancer.name, "entry-1", LC_NAME_MAX);
+          c.member.balancer.instance = instance;
+          lc_control_state_apply (&w.state, ++w.index, &c);
+        }
+      ck_assert_str_eq (lc_view_dc_by_name (&w.state.view, "hall-atl")->region, REGIONS[i].region);
+      lc_control_state_finish (&w.state);
+    }
+}
+END_TEST
+
 /* A command is the same after it went through the log. */
 START_TEST (test_numbered_is_packed)
 {
@@ -540,6 +627,8 @@
   tcase_add_test (tcase, test_replaced_instance_stays_replaced);
   tcase_add_loop_test (tcase, test_numbered, 0, (int)G_N_ELEMENTS (NUMBERED));
   tcase_add_test (tcase, test_numbered_objective);
+  tcase_add_test (tcase, test_numbered_homes);
+  tcase_add_test (tcase, test_regions_come_with_balancers);
   tcase_add_test (tcase, test_numbered_is_packed);
   tcase_add_test (tcase, test_snapshot_holds_everything);
   tcase_add_loop_test (tcase, test_bad_snapshot_is_refused, ANSWER_TWICE, UNKNOWN_PLAN_STATE + 1);
--- a/tests/flow/return-world.c
+++ b/tests/flow/return-world.c
@@ -99,6 +99,26 @@
   return w->n_agents < RW_LARGE ? &w->seen[i] : &w->view;
 }
 
+void
+rw_put_region (RwWorld *w, LcDcId dc, const char *region)
+{
+  LcViewOp op = { .kind = LC_VIEW_DC, .dc = { .id = dc, .state = LC_DC_ACTIVE } };
+
+  (void)g_snprintf (op.dc.name, sizeof op.dc.name, "dc%u", dc);
+  (void)g_strlcpy (op.dc.region, region, sizeof op.dc.region);
+  rw_apply (w, &op);
+}
+
+void
+rw_set_homes (RwWorld *w, const char *homes)
+{
+  LcViewOp op = { .kind = LC_VIEW_ADDRESS };
+
+  op.address = (LcAddress){ 0xc6120001, 443, LC_PROTOCOL_TCP, 1, "" };
+  (void)g_strlcpy (op.address.homes, homes, sizeof op.address.homes);
+  rw_apply (w, &op);
+}
+
 void
 rw_show_agent (RwWorld *w, int i)
 {
--- a/tests/flow/return-world.h
+++ b/tests/flow/return-world.h
@@ -63,6 +63,10 @@
   void rw_place (RwWorld *w, int i, LcDcId dc);
   /* In the newest view only, until it is shown. */
   void rw_evacuate (RwWorld *w, LcDcId dc, bool is_evacuated);
+  /* Names the data centre's region, and the regions that new flows are kept to (lc-homes.h); in the
+   * newest view only, until it is shown. */
+  void rw_put_region (RwWorld *w, LcDcId dc, const char *region);
+  void rw_set_homes (RwWorld *w, const char *homes);
   /* States what a cold endpoint bears; in the newest view only, until it is shown. */
   void rw_set_cold_rate (RwWorld *w, uint32_t rate_mrps);
   void rw_show_agent (RwWorld *w, int i);
--- a/tests/flow/test-flow-core.c
+++ b/tests/flow/test-flow-core.c
@@ -304,7 +304,7 @@
         {
           const LcSetMember *homes[LC_HOMES];
 
-          ck_assert_uint_eq (lc_candidates_homes (&sets, 0, hash_of (i), homes), 2);
+          ck_assert_uint_eq (lc_candidates_homes (&sets, 0, hash_of (i), LC_REGIONS_ALL, homes), 2);
           ck_assert_ptr_ne (homes[0], homes[1]);
           won[homes[0]->candidate.id - 10]++;
         }
@@ -338,8 +338,8 @@
       LcCandidateList now;
       LcCandidateList before;
 
-      lc_candidates_pick (&sets, hash_of (i), &now);
-      lc_candidates_pick (&old, hash_of (i), &before);
+      lc_candidates_pick (&sets, hash_of (i), LC_REGIONS_ALL, &now);
+      lc_candidates_pick (&old, hash_of (i), LC_REGIONS_ALL, &before);
       ck_assert_uint_le (now.n, LC_CANDIDATES_MAX);
       ck_assert_uint_eq (before.n, 2);
       ck_assert_uint_eq (before.assigner, 0);
@@ -468,7 +468,7 @@
           if ((CASES[c].refusing & (1U << k)) != 0)
             lc_assign_refused (&assign, 10 + k, 0);
         }
-      i = lc_assign_choose (&assign, hash_of (1), CASES[c].dc, 1);
+      i = lc_assign_choose (&assign, hash_of (1), CASES[c].dc, LC_REGIONS_ALL, 1);
       ck_assert_msg ((i < 0 ? -1 : (int)assign.peers[i].agent.id) == CASES[c].expected, "%s: %d",
                      CASES[c].what, i);
       if (i < 0)
--- a/tests/flow/test-flow-evacuation.c
+++ b/tests/flow/test-flow-evacuation.c
@@ -128,10 +128,10 @@
       rw_evacuate (&w, STAYING, CASES[i].is_evacuated);
       lc_assign_init (&assign, &desc);
       lc_assign_set_members (&assign, lc_view_service (&w.view, 1), 1, 0);
-      lc_assign_set_evacuated (&assign, &w.view);
+      lc_assign_set_places (&assign, &w.view);
       for (LcEndpointId id = 1; id <= 4 && CASES[i].is_refusing; id++)
         lc_assign_refused (&assign, id, 1);
-      chosen = lc_assign_choose (&assign, 5, 0, 2);
+      chosen = lc_assign_choose (&assign, 5, 0, LC_REGIONS_ALL, 2);
       ck_assert_msg ((chosen >= 0) == (CASES[i].reason == LC_DROP_NONE), "%s", CASES[i].what);
       if (chosen < 0)
         ck_assert_msg (assign.failure == CASES[i].reason, "%s", CASES[i].what);
