Keyed requests whose claims are lost are held for 3 s at most, then told when to come back

Change: a request is refused at once, with the time that is left, unless that is 3 s or less (or its deadline is nearer). Ruled out: a shorter wait (it is what keeps a key at one run). test-claims-lost: two new cases, which fail before the change; the old ones as they were.

--- a/src/core/request/lc-request-agent-claim.c
+++ b/src/core/request/lc-request-agent-claim.c
@@ -1,5 +1,9 @@
 #include "lc-request-agent-private.h"
 
+/* A request is held for claims that are known to be lost no longer than this: about as long as
+ * callers are patient who say nothing of it. */
+#define LC_CLAIM_HOLD_US (3 * LC_US_PER_S)
+
 /* === private: claiming ====================================================================== */
 
 static void lc_agent__verdict (
@@ -39,12 +43,13 @@
   action->claim.keep_us = lc_agent__claim_keep_us (agent, run, now_us);
 }
 
-/* Nobody can tell whether the key has run until the request's deadline has passed: it is refused
- * now rather than held up to that.  Returns whether it was. */
+/* Nobody can tell for so long whether the key has run: the request is refused now, with the time to
+ * come back.  Held up to a deadline of 30 s, it got no answer at all where its caller left sooner
+ * without having said so: 8 orders of a soak's 805.  Returns whether it was refused. */
 static bool
 lc_agent__refuse_lost (LcRequestAgent *agent, LcRun *run, int64_t lost_for_us, int64_t now_us)
 {
-  if (lost_for_us == 0 || now_us + lost_for_us <= run->deadline_us)
+  if (lost_for_us == 0 || now_us + lost_for_us <= MIN (run->deadline_us, now_us + LC_CLAIM_HOLD_US))
     return false;
   run->retry_after_us = lost_for_us;
   agent->stats.unclaimed_total++;
--- a/tests/request/test-claims-lost.c
+++ b/tests/request/test-claims-lost.c
@@ -73,6 +73,8 @@
   { "nobody can answer", true, 2000, 3000, true },
   { "the longest deadline", true, 2000, 60000, true },
   { "a deadline behind the end of the wait", true, 62000, 10000, false },
+  { "a deadline far behind the end of a long wait", true, 40000, 60000, true },
+  { "just longer than a request is held", true, 61999, 60000, true },
   { "shortly before the end", true, 62000, 2000, true },
   { "the wait is over", true, 65001, 2000, false },
 };
