Second owner with fast views: a mark whose assigner is gone keeps its station from assigning before the list's end

Symptom: KNOWN-RED flow-second-owner-fast-views, "at 11.244 s: flow 37 of endpoint 1: a second owner". Cause, by TRACE_FLOW=37: endpoint 1 has the mark of endpoint 10, which has left; the mark counted for nothing, and as the second copy's list was settled endpoint 1 assigned it at its first hop, while endpoint 5 on the same list holds the mark of an older assigner. Ruled out: walking back to every station (nothing bounds the race), the mark's rank outliving its assigner (no new flow for 5 s).

--- a/src/core/flow/lc-steer.c
+++ b/src/core/flow/lc-steer.c
@@ -66,11 +66,15 @@
   return (LcSteer){ .kind = LC_STEER_TAKE };
 }
 
+/* The mark of an assigner that is gone says nothing of who assigns the flow now, but that a walk
+ * passed here while sets were settling, and may have been given an older assigner on its way: only
+ * the rest of the list can tell. */
 static bool
-lc_steer__may_assign_here (const LcSteerSelf *self, const LcEnvelope *e)
+lc_steer__may_assign_here (const LcSteerSelf *self, const LcEnvelope *e, const LcSteerKnown *known)
 {
   bool is_last = e->hop + 1 == e->n;
-  bool is_settled = e->set_rank == UINT64_MAX && self->is_settled;
+  bool has_dead_mark = known->kind == LC_FLOW_PENDING && !known->is_live;
+  bool is_settled = e->set_rank == UINT64_MAX && self->is_settled && !has_dead_mark;
 
   return e->hop == e->assigner && (is_last || is_settled);
 }
@@ -94,7 +98,7 @@
       return lc_steer__assign (self, e, known);
     case LC_MODE_WALK:
     default:
-      if (packet->may_open && lc_steer__may_assign_here (self, e))
+      if (packet->may_open && lc_steer__may_assign_here (self, e, known))
         return lc_steer__assign (self, e, known);
       return lc_steer__walk_on (e, packet, packet->may_open, false);
     }
