--- a/src/cli/lc-cli-explain.c
+++ b/src/cli/lc-cli-explain.c
@@ -1,6 +1,7 @@
-/* lychee explain: from a flow's id to what happened to it, out of log files. */
+/* lychee explain: from a flow's id to what happened to it, and how changes spread, out of log files. */
 #include "lc-cli.h"
 #include "lc-explain.h"
+#include "lc-spread.h"
 
 #include "core/lc-types.h"
 
@@ -24,6 +25,8 @@
   struct arg_str *until;
   struct arg_int *around_ms;
   struct arg_lit *bad;
+  struct arg_lit *spread;
+  struct arg_file *svg;
   struct arg_lit *json;
   struct arg_lit *help;
   struct arg_file *files;
@@ -150,6 +153,63 @@
   return n > 0 ? LC_CLI_DONE : lc_cli_explain__nothing (log);
 }
 
+/* === the spread of changes ================================================================== */
+
+static int
+lc_cli_explain__write_svg (const LcSpread *spread, const char *path)
+{
+  GString *svg = g_string_new (NULL);
+  GError *failure = NULL;
+  LcError error = { 0 };
+  int code = LC_CLI_DONE;
+
+  lc_spread_write_svg (spread, svg);
+  if (!g_file_set_contents (path, svg->str, (gssize)svg->len, &failure))
+    {
+      (void)lc_error_set (&error, LC_ERR_INVALID, "name a file that can be written", "%s",
+                          failure->message);
+      lc_error_print (stderr, &error);
+      g_error_free (failure);
+      code = LC_CLI_FAILED;
+    }
+  (void)g_string_free (svg, TRUE);
+  return code;
+}
+
+static int
+lc_cli_explain__print_spread (const LcSpread *spread, const LcCliExplain *args)
+{
+  GString *out = g_string_new (NULL);
+
+  if (args->json->count > 0)
+    lc_spread_write_json (spread, out);
+  else
+    lc_spread_write_text (spread, out);
+  (void)fputs (out->str, stdout);
+  (void)g_string_free (out, TRUE);
+  return args->svg->count > 0 ? lc_cli_explain__write_svg (spread, args->svg->filename[0])
+                              : LC_CLI_DONE;
+}
+
+static int
+lc_cli_explain__spread (const LcCliExplain *args)
+{
+  LcError error = { 0 };
+  LcSpread spread;
+  int code;
+  int r = 0;
+
+  lc_spread_init (&spread);
+  for (int i = 0; r == 0 && i < args->files->count; i++)
+    r = lc_spread_read (&spread, args->files->filename[i], &error);
+  if (r < 0)
+    lc_error_print (stderr, &error);
+  lc_spread_finish_reading (&spread);
+  code = r < 0 ? LC_CLI_USAGE : lc_cli_explain__print_spread (&spread, args);
+  lc_spread_finish (&spread);
+  return code;
+}
+
 /* === arguments ============================================================================== */
 
 static int
@@ -199,7 +259,8 @@
       arg_print_syntax (stdout, table, "\n");
       (void)printf (
           "Joins the log lines of several processes about one flow, in time order; without "
-          "--flow, lists the flows that fit.\n");
+          "--flow, lists the flows that fit.  With --spread, tells how long each change of "
+          "members or declaration took to the middle and the last machine of each role.\n");
       arg_print_glossary (stdout, table, "  %-28s %s\n");
       return LC_CLI_DONE;
     }
@@ -209,6 +270,8 @@
       (void)fprintf (stderr, "remedy: see lychee explain --help\n");
       return LC_CLI_USAGE;
     }
+  if (args->spread->count > 0)
+    return lc_cli_explain__spread (args);
   lc_explain_init (&log);
   code = lc_cli_explain__ask (&log, args);
   lc_explain_finish (&log);
@@ -229,6 +292,8 @@
   args.since = arg_str0 (NULL, "since", "TIME", "list flows seen from then on");
   args.until = arg_str0 (NULL, "until", "TIME", "and up to then");
   args.bad = arg_lit0 (NULL, "bad", "list only flows with a line that tells of trouble");
+  args.spread = arg_lit0 (NULL, "spread", "how long changes took to reach the machines of each role");
+  args.svg = arg_file0 (NULL, "svg", "FILE", "with --spread: draw it as well");
   args.around_ms =
       arg_int0 (NULL, "around-ms", "N", "what its processes said so long around it (2000)");
   args.json = arg_lit0 (NULL, "json", "print the lines as they are");
@@ -237,8 +302,9 @@
       arg_filen (NULL, NULL, "FILE", 1, LC_CLI_EXPLAIN_FILES_MAX, "logs; - is standard input");
   args.end = arg_end (LC_CLI_EXPLAIN_ERRORS_MAX);
   {
-    void *table[] = { args.flow, args.service,   args.caller, args.vm,   args.since, args.until,
-                      args.bad,  args.around_ms, args.json,   args.help, args.files, args.end };
+    void *table[] = { args.flow,  args.service, args.caller, args.vm,        args.since,
+                      args.until, args.bad,     args.spread, args.svg,       args.around_ms,
+                      args.json,  args.help,    args.files,  args.end };
 
     code = lc_cli_explain__run (argc, argv, &args, table);
     arg_freetable (table, G_N_ELEMENTS (table));
