--- a/src/cli/lc-cli-explain.c
+++ b/src/cli/lc-cli-explain.c
@@ -1,4 +1,5 @@
-/* lychee explain: from a flow's id to what happened to it, and how changes spread, out of log files. */
+/* lychee explain: from a flow's id to what happened to it, and how changes spread, out of log
+ * files. */
 #include "lc-cli.h"
 #include "lc-explain.h"
 #include "lc-spread.h"
@@ -292,7 +293,8 @@
   args.since = arg_str0 (NULL, "since", "TIME", "list flows seen from then on");
   args.until = arg_str0 (NULL, "until", "TIME", "and up to then");
   args.bad = arg_lit0 (NULL, "bad", "list only flows with a line that tells of trouble");
-  args.spread = arg_lit0 (NULL, "spread", "how long changes took to reach the machines of each role");
+  args.spread =
+      arg_lit0 (NULL, "spread", "how long changes took to reach the machines of each role");
   args.svg = arg_file0 (NULL, "svg", "FILE", "with --spread: draw it as well");
   args.around_ms =
       arg_int0 (NULL, "around-ms", "N", "what its processes said so long around it (2000)");
@@ -302,8 +304,8 @@
       arg_filen (NULL, NULL, "FILE", 1, LC_CLI_EXPLAIN_FILES_MAX, "logs; - is standard input");
   args.end = arg_end (LC_CLI_EXPLAIN_ERRORS_MAX);
   {
-    void *table[] = { args.flow,  args.service, args.caller, args.vm,        args.since,
-                      args.until, args.bad,     args.spread, args.svg,       args.around_ms,
+    void *table[] = { args.flow,  args.service, args.caller, args.vm,  args.since,
+                      args.until, args.bad,     args.spread, args.svg, args.around_ms,
                       args.json,  args.help,    args.files,  args.end };
 
     code = lc_cli_explain__run (argc, argv, &args, table);
--- a/src/cli/lc-spread-write.c
+++ b/src/cli/lc-spread-write.c
@@ -161,8 +161,7 @@
   for (int role = 0; role < LC_SPREAD_N_ROLES; role++)
     if (times[role].n_reached > 0)
       g_string_append_printf (
-          out,
-          "<circle cx=\"%.1f\" cy=\"%.1f\" r=\"2.5\" fill=\"%s\"><title>%s</title></circle>\n",
+          out, "<circle cx=\"%.1f\" cy=\"%.1f\" r=\"2.5\" fill=\"%s\"><title>%s</title></circle>\n",
           lc_spread__x (scale, change->at_us), lc_spread__y (scale, times[role].last_us),
           COLOURS[role], change->what);
 }
@@ -173,15 +172,15 @@
   int bottom = LC_SPREAD_SVG_HEIGHT - LC_SPREAD_SVG_MARGIN;
   int right = LC_SPREAD_SVG_WIDTH - LC_SPREAD_SVG_MARGIN;
 
-  g_string_append_printf (out,
-                          "<path d=\"M%d %d V%d H%d\" fill=\"none\" stroke=\"#444\"/>\n"
-                          "<text x=\"%d\" y=\"%d\">%.1f ms until the last machine has a change"
-                          " (blue: balancers, orange: agents)</text>\n"
-                          "<text x=\"%d\" y=\"%d\">0 s</text>\n<text x=\"%d\" y=\"%d\">%.1f s</text>\n",
-                          LC_SPREAD_SVG_MARGIN, LC_SPREAD_SVG_MARGIN, bottom, right,
-                          LC_SPREAD_SVG_MARGIN, LC_SPREAD_SVG_MARGIN - 10,
-                          (double)scale->top_us / LC_US_PER_MS, LC_SPREAD_SVG_MARGIN, bottom + 20,
-                          right - 40, bottom + 20, (double)scale->span_us / LC_US_PER_S);
+  g_string_append_printf (
+      out,
+      "<path d=\"M%d %d V%d H%d\" fill=\"none\" stroke=\"#444\"/>\n"
+      "<text x=\"%d\" y=\"%d\">%.1f ms until the last machine has a change"
+      " (blue: balancers, orange: agents)</text>\n"
+      "<text x=\"%d\" y=\"%d\">0 s</text>\n<text x=\"%d\" y=\"%d\">%.1f s</text>\n",
+      LC_SPREAD_SVG_MARGIN, LC_SPREAD_SVG_MARGIN, bottom, right, LC_SPREAD_SVG_MARGIN,
+      LC_SPREAD_SVG_MARGIN - 10, (double)scale->top_us / LC_US_PER_MS, LC_SPREAD_SVG_MARGIN,
+      bottom + 20, right - 40, bottom + 20, (double)scale->span_us / LC_US_PER_S);
 }
 
 /* === public ================================================================================= */
@@ -220,10 +219,10 @@
         changes, lc_spread__change_json (s, &g_array_index (s->changes, LcSpreadChange, i)));
   for (guint i = 0; i < s->bad->len; i++)
     (void)json_array_append_new (bad, json_string (g_ptr_array_index (s->bad, i)));
-  root = json_pack ("{s:o, s:i, s:I, s:I, s:o, s:I}", "changes", changes, "processes",
-                    (int)g_hash_table_size (s->processes), "lines", (json_int_t)s->n_lines,
-                    "skipped", (json_int_t)s->n_bad, "skipped_first", bad, "left_out",
-                    (json_int_t)s->n_left_out);
+  root =
+      json_pack ("{s:o, s:i, s:I, s:I, s:o, s:I}", "changes", changes, "processes",
+                 (int)g_hash_table_size (s->processes), "lines", (json_int_t)s->n_lines, "skipped",
+                 (json_int_t)s->n_bad, "skipped_first", bad, "left_out", (json_int_t)s->n_left_out);
   text = json_dumps (root, JSON_INDENT (1));
   g_string_append (out, text);
   g_string_append_c (out, '\n');
--- a/src/cli/lc-spread.h
+++ b/src/cli/lc-spread.h
@@ -2,8 +2,8 @@
  *
  * WHAT IT IS
  *   Balancers and agents write a line for each view that they apply (view.applied), control VMs one
- *   for each change of a member that they propose (member.proposed) and for each declaration that is
- *   in force (declaration.answered).  From the files of all processes this finds, for each change,
+ *   for each change of a member that they propose (member.proposed) and for each declaration that
+ * is in force (declaration.answered).  From the files of all processes this finds, for each change,
  *   when each process first had a view with it, and of each role the middle and the last of these
  *   times.
  *
@@ -21,9 +21,9 @@
  *
  * LIMITS
  *   A line that does not tell of a view or a change costs no memory.  At most LC_SPREAD_POINTS_MAX
- *   views are kept (64 MB), and LC_SPREAD_CHANGES_MAX changes; what is beyond is counted.  A process
- *   writes ten lines of views a second at most, so in a storm a time may be up to 0.1 s too long.
- *   Clocks of two VMs may differ: a time that would be negative counts as 0.
+ *   views are kept (64 MB), and LC_SPREAD_CHANGES_MAX changes; what is beyond is counted.  A
+ * process writes ten lines of views a second at most, so in a storm a time may be up to 0.1 s too
+ * long. Clocks of two VMs may differ: a time that would be negative counts as 0.
  */
 #ifndef LC_SPREAD_H
 #define LC_SPREAD_H
@@ -76,7 +76,7 @@
 typedef struct
 {
   uint32_t n_reached;
-  uint32_t n_apart; /* not there, or started again before they had it */
+  uint32_t n_apart;   /* not there, or started again before they had it */
   uint32_t n_missing; /* there to the end, and never had it */
   int64_t middle_us;  /* after the change; -1: nobody had it */
   int64_t last_us;
--- a/src/control/lc-distributor-private.h
+++ b/src/control/lc-distributor-private.h
@@ -1,7 +1,8 @@
 /* lc-distributor-private: what the parts of lc-distributor share.
  *
- *   lc-distributor.c         proposals, what balancers say, their leases, the view, lifetime
- *   lc-distributor-duties.c  what only the leader does from time to time
+ *   lc-distributor.c          what balancers say, their leases, the view, lifetime
+ *   lc-distributor-propose.c  changes on their way to the log
+ *   lc-distributor-duties.c   what only the leader does from time to time
  */
 #ifndef LC_DISTRIBUTOR_PRIVATE_H
 #define LC_DISTRIBUTOR_PRIVATE_H
@@ -45,6 +46,10 @@
   LcLogLimit unplaced_limit;
 };
 
+void lc_distributor__init_proposals (LcDistributor *d);
+void lc_distributor__finish_proposals (LcDistributor *d);
+/* What was proposed long ago may be proposed again; at each tick. */
+void lc_distributor__forget_old (LcDistributor *d, int64_t now_us);
 /* Hands a change to the log, unless the same one is on its way. */
 void lc_distributor__propose (LcDistributor *d, const LcMemberChange *change, int64_t now_us);
 /* The same for what was reported: the guard may hold it, and an endpoint needs a place. */
--- a/src/control/lc-distributor.c
+++ b/src/control/lc-distributor.c
@@ -10,160 +10,13 @@
 enum
 {
   LC_DISTRIBUTOR_TICK_MS = 100,
-  LC_DISTRIBUTOR_SOON_MS = 2,      /* announcements that come together are looked at together */
-  LC_DISTRIBUTOR_PENDING_MS = 900, /* an equal proposal waits so long: below the resend time */
+  LC_DISTRIBUTOR_SOON_MS = 2, /* announcements that come together are looked at together */
   LC_DISTRIBUTOR_SEED_MS = 500,
   LC_DISTRIBUTOR_SUSPECTS = 64,
   LC_DISTRIBUTOR_FOLLOWER_REPORTS = 3, /* a follower steps in when the leader seems not to hear */
   LC_DISTRIBUTOR_LOGS_PER_S = 2,
-  LC_DISTRIBUTOR_PROPOSAL_LOGS_PER_S = 30,
 };
 
-/* Fifty entries a second at most, however many members change: a fifth of the time that a change
- * takes to every machine is the longest that it waits here. */
-static const LcBatchPaceDesc LC_DISTRIBUTOR_BATCH = {
-  .first_us = LC_DISTRIBUTOR_SOON_MS * LC_US_PER_MS,
-  .interval_us = 20 * LC_US_PER_MS,
-};
-
-/* === private: proposals ===================================================================== */
-
-static gpointer
-lc_distributor__key (const LcMemberChange *change)
-{
-  char text[3 * LC_NAME_MAX];
-
-  if (change->kind == LC_MEMBER_SETTLED)
-    (void)g_snprintf (text, sizeof text, "settled");
-  else
-    (void)g_snprintf (text, sizeof text, "%d %s %" G_GINT64_MODIFIER "x", (int)change->kind,
-                      lc_member_change_name (change), (guint64)lc_member_change_instance (change));
-  return g_strdup (text);
-}
-
-/* What this control VM has come to believe of a member, and hands to the log. */
-static void
-lc_distributor__log_proposal (LcDistributor *d, const LcMemberChange *change, int64_t now_us)
-{
-  if (change->kind != LC_MEMBER_SETTLED &&
-      lc_log_allow (&d->proposal_limit, now_us, LC_DISTRIBUTOR_PROPOSAL_LOGS_PER_S))
-    LC_INFO ("member.proposed", "what", LC_STR (lc_member_change_kind_name (change->kind)),
-             "member", LC_STR (lc_member_change_name (change)), "instance",
-             LC_U64 (lc_member_change_instance (change)), "revision",
-             LC_U64 (d->desc.view->revision), "is_leader",
-             LC_U64 (d->desc.is_leader (d->desc.user)), "left_out",
-             LC_U64 (d->proposal_limit.suppressed_total));
-}
-
-/* What could not be taken is not on its way: it may be proposed again at once. */
-static void
-lc_distributor__forget_batch (LcDistributor *d, const LcMemberChange *changes, uint32_t n)
-{
-  for (uint32_t i = 0; i < n; i++)
-    {
-      char *key = lc_distributor__key (&changes[i]);
-
-      (void)g_hash_table_remove (d->pending, key);
-      g_free (key);
-    }
-}
-
-static void
-lc_distributor__on_batch (void *user)
-{
-  LcDistributor *d = user;
-  GArray *batch = d->batch;
-  int64_t now_us = lc_clock_now_us ();
-
-  d->batch = g_array_new (FALSE, FALSE, sizeof (LcMemberChange)); /* a proposal may add to it */
-  lc_batch_pace_sent (&d->batch_pace, now_us);
-  for (guint at = 0; at < batch->len; at += LC_MEMBER_CHANGES_MAX)
-    {
-      const LcMemberChange *changes = &g_array_index (batch, LcMemberChange, at);
-      uint32_t n = MIN (batch->len - at, (guint)LC_MEMBER_CHANGES_MAX);
-
-      if (d->desc.propose (d->desc.user, changes, n) < 0)
-        lc_distributor__forget_batch (d, changes, n);
-    }
-  g_array_unref (batch);
-}
-
-static void
-lc_distributor__add_to_batch (LcDistributor *d, const LcMemberChange *change, int64_t now_us)
-{
-  int64_t due_us = lc_batch_pace_add (&d->batch_pace, now_us);
-
-  g_array_append_val (d->batch, *change);
-  lc_timer_hasten (&d->batch_timer, (uint32_t)(MAX (due_us - now_us, 0) / LC_US_PER_MS));
-}
-
-/* The same transition comes from two watchers, and again until the view shows it: one proposal is
- * on its way at a time. */
-void
-lc_distributor__propose (LcDistributor *d, const LcMemberChange *change, int64_t now_us)
-{
-  char *key = lc_distributor__key (change);
-  int64_t *at_us = g_hash_table_lookup (d->pending, key);
-
-  if (at_us != NULL && now_us - *at_us < LC_DISTRIBUTOR_PENDING_MS * LC_US_PER_MS)
-    {
-      g_free (key);
-      return;
-    }
-  lc_distributor__add_to_batch (d, change, now_us);
-  lc_metric_add (d->proposed_total, 1);
-  lc_distributor__log_proposal (d, change, now_us);
-  at_us = g_new (int64_t, 1);
-  *at_us = now_us;
-  g_hash_table_replace (d->pending, key, at_us);
-}
-
-static gboolean
-lc_distributor__is_old (gpointer key, gpointer value, gpointer user)
-{
-  (void)key;
-  return *(int64_t *)user - *(int64_t *)value >= LC_DISTRIBUTOR_PENDING_MS * LC_US_PER_MS;
-}
-
-/* An endpoint of a service or data centre that no operator has opened is not proposed: it would
- * change nothing and be reported again every second. */
-static bool
-lc_distributor__has_place (const LcDistributor *d, const LcMemberChange *change)
-{
-  return change->kind != LC_MEMBER_ENDPOINT_ANNOUNCED ||
-         (lc_view_service_by_name (d->desc.view, change->service) != NULL &&
-          lc_view_dc_by_name (d->desc.view, change->data_centre) != NULL);
-}
-
-static void
-lc_distributor__note_unplaced (LcDistributor *d, const LcMemberChange *change, int64_t now_us)
-{
-  lc_metric_add (d->unplaced_total, 1);
-  if (lc_log_allow (&d->unplaced_limit, now_us, LC_DISTRIBUTOR_LOGS_PER_S))
-    LC_WARN ("member.unplaced", "endpoint", LC_STR (change->endpoint.name), "service",
-             LC_STR (change->service), "data_centre", LC_STR (change->data_centre), "remedy",
-             LC_STR ("open the service and the data centre with `lychee plan open-market`"));
-}
-
-void
-lc_distributor__take (LcDistributor *d, const LcMemberChange *change, int64_t now_us)
-{
-  if (!lc_distributor__has_place (d, change))
-    {
-      lc_distributor__note_unplaced (d, change, now_us);
-      return;
-    }
-  if (lc_guard_check (&d->guard, d->desc.view, change, now_us) == LC_GUARD_PASS)
-    {
-      lc_distributor__propose (d, change, now_us);
-      return;
-    }
-  lc_metric_add (d->held_total, 1);
-  if (lc_log_allow (&d->guard_limit, now_us, LC_DISTRIBUTOR_LOGS_PER_S))
-    LC_WARN ("guard.holding", "what", LC_STR (d->guard.holding_what), "remedy",
-             LC_STR ("see docs/operating/guard-holding.md: check the network of that place"));
-}
-
 /* === private: balancers speak =============================================================== */
 
 static int64_t
@@ -411,7 +264,7 @@
       lc_distributor__sweep (d, now_us);
       lc_distributor__settle (d, now_us);
     }
-  (void)g_hash_table_foreach_remove (d->pending, lc_distributor__is_old, &now_us);
+  lc_distributor__forget_old (d, now_us);
   lc_timer_start (&d->tick, LC_DISTRIBUTOR_TICK_MS);
 }
 
@@ -464,12 +317,9 @@
   lc_view_server_init (&d->server, &server);
   lc_watch_init (&d->watch, &watch);
   lc_guard_init (&d->guard, &guard);
-  d->pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  lc_distributor__init_proposals (d);
   d->lost_since = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   lc_distributor__init_metrics (d);
-  d->batch = g_array_new (FALSE, FALSE, sizeof (LcMemberChange));
-  lc_batch_pace_init (&d->batch_pace, &LC_DISTRIBUTOR_BATCH);
-  lc_timer_init (&d->batch_timer, desc->app->loop, lc_distributor__on_batch, d);
   lc_timer_init (&d->tick, desc->app->loop, lc_distributor__on_tick, d);
   lc_timer_start (&d->tick, LC_DISTRIBUTOR_TICK_MS);
   return d;
@@ -481,9 +331,7 @@
   if (d == NULL)
     return;
   lc_timer_finish (&d->tick);
-  lc_timer_finish (&d->batch_timer);
-  g_array_unref (d->batch);
-  g_hash_table_destroy (d->pending);
+  lc_distributor__finish_proposals (d);
   g_hash_table_destroy (d->lost_since);
   lc_guard_finish (&d->guard);
   lc_watch_finish (&d->watch);
