Relays with wide links where a data centre has them

Cause: relays were drawn by a hash of their names. Each data centre has two VMs with 1,000 Mbit/s. Change: balancers announce their VM's bandwidth (link_mbps, from the platform's limits); where all of a data centre are known and two are much wider than the thinnest, the widest are its relays, as many as carry equal shares. Elsewhere the choice is as before.

--- a/proto/lc-view.pb-c.c
+++ b/proto/lc-view.pb-c.c
@@ -573,7 +573,7 @@
   (ProtobufCMessageInit) lc__wire__data_centre__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__balancer__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lc__wire__balancer__field_descriptors[9] =
 {
   {
     "id",
@@ -671,6 +671,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_kbps",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__Balancer, link_kbps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__balancer__field_indices_by_name[] = {
   2,   /* field[2] = dc */
@@ -678,6 +690,7 @@
   0,   /* field[0] = id */
   1,   /* field[1] = instance */
   4,   /* field[4] = ipv4 */
+  8,   /* field[8] = link_kbps */
   7,   /* field[7] = name */
   5,   /* field[5] = peer_port */
   3,   /* field[3] = state */
@@ -685,7 +698,7 @@
 static const ProtobufCIntRange lc__wire__balancer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor lc__wire__balancer__descriptor =
 {
@@ -695,7 +708,7 @@
   "Lc__Wire__Balancer",
   "lc.wire",
   sizeof(Lc__Wire__Balancer),
-  8,
+  9,
   lc__wire__balancer__field_descriptors,
   lc__wire__balancer__field_indices_by_name,
   1,  lc__wire__balancer__number_ranges,
--- a/proto/lc-view.pb-c.h
+++ b/proto/lc-view.pb-c.h
@@ -59,10 +59,11 @@
   uint32_t peer_port;
   uint32_t flow_port;
   char *name;
+  uint32_t link_kbps;
 };
 #define LC__WIRE__BALANCER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__balancer__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Lc__Wire__Endpoint
--- a/src/balancer/lc-balancer-settings.c
+++ b/src/balancer/lc-balancer-settings.c
@@ -43,6 +43,13 @@
     .default_u64 = 9100,
     .unit = "port",
     .help = "metrics and health" },
+  { .path = "link_mbps",
+    .kind = LC_SETTING_PERMILLE,
+    FIELD (link_kbps),
+    .max = UINT32_MAX,
+    .unit = "Mbit/s",
+    .help = "bandwidth of this VM's link; where all balancers of a data centre say theirs, those "
+            "with much wider ones hand the view on to the others; left out: not said" },
   { .path = "control",
     .kind = LC_SETTING_ADDRESS_LIST,
     FIELD (control),
--- a/src/balancer/lc-balancer-settings.h
+++ b/src/balancer/lc-balancer-settings.h
@@ -14,6 +14,7 @@
   uint16_t flow_port;
   uint16_t http_port;
   uint16_t admin_port;
+  uint32_t link_kbps; /* of this VM; 0: not said */
   uint32_t n_control;
   LcSocketAddress control[LC_CONTROL_VMS_MAX]; /* peer addresses of lychee-control */
   uint16_t control_peer_port;                  /* 0: as in `control` */
--- a/src/balancer/main.c
+++ b/src/balancer/main.c
@@ -132,6 +132,7 @@
   desc.balancer.ipv4 = p->settings.ipv4;
   desc.balancer.peer_port = p->settings.peer_port;
   desc.balancer.flow_port = p->settings.flow_port;
+  desc.balancer.link_kbps = p->settings.link_kbps;
   (void)g_strlcpy (desc.balancer.name, p->settings.name, sizeof desc.balancer.name);
   return lc_member_init (&p->member, &desc, error);
 }
--- a/src/control/lc-distributor-propose.c
+++ b/src/control/lc-distributor-propose.c
@@ -7,7 +7,7 @@
 enum
 {
   LC_DISTRIBUTOR_BATCH_FIRST_MS = 2,
-  LC_DISTRIBUTOR_BATCH_MS = 20,    /* between batches at least */
+  LC_DISTRIBUTOR_BATCH_MS = 20,                            /* between batches at least */
   LC_DISTRIBUTOR_WAITING_MAX = 16 * LC_MEMBER_CHANGES_MAX, /* changes that wait for a leader */
   LC_DISTRIBUTOR_PENDING_MS = 900, /* an equal proposal waits so long: below the resend time */
   LC_DISTRIBUTOR_LOGS_PER_S = 2,
--- a/src/core/control/lc-control-member.c
+++ b/src/core/control/lc-control-member.c
@@ -235,7 +235,8 @@
 lc_control__same_balancer (const LcBalancer *a, const LcBalancer *b)
 {
   return a->instance == b->instance && a->dc == b->dc && a->state == b->state &&
-         a->ipv4 == b->ipv4 && a->peer_port == b->peer_port && a->flow_port == b->flow_port;
+         a->ipv4 == b->ipv4 && a->peer_port == b->peer_port && a->flow_port == b->flow_port &&
+         a->link_kbps == b->link_kbps;
 }
 
 static void
@@ -283,6 +284,7 @@
   b.ipv4 = from->ipv4;
   b.peer_port = from->peer_port;
   b.flow_port = from->flow_port;
+  b.link_kbps = from->link_kbps;
   (void)g_strlcpy (b.name, from->name, sizeof b.name);
   lc_control__put_balancer (state, revision, &b);
 }
--- a/src/core/lc-view.h
+++ b/src/core/lc-view.h
@@ -68,6 +68,7 @@
     uint32_t ipv4;
     uint16_t peer_port; /* TCP frames */
     uint16_t flow_port; /* UDP envelopes from the fabric */
+    uint32_t link_kbps; /* of its VM, as its settings say; 0: not said */
     char name[LC_NAME_MAX];
   } LcBalancer;
 
--- a/src/core/member/lc-relays.c
+++ b/src/core/member/lc-relays.c
@@ -9,14 +9,30 @@
   return XXH3_64bits (b->name, strlen (b->name));
 }
 
-/* Keeps the best `max`, best first. */
+/* How many times as wide as the thinnest its link is; 1 where links are not known. */
 static uint32_t
-lc_relays__insert (const LcBalancer *out[], uint32_t n, uint32_t max, const LcBalancer *b)
+lc_relays__times (const LcBalancer *b, uint32_t thinnest_kbps)
 {
-  uint64_t score = lc_relays__score (b);
+  return thinnest_kbps != 0 ? MIN (b->link_kbps / thinnest_kbps, (uint32_t)LC_RELAYS_TIMES_MAX) : 1;
+}
+
+static bool
+lc_relays__is_better (const LcBalancer *a, const LcBalancer *b, uint32_t thinnest_kbps)
+{
+  uint32_t a_times = lc_relays__times (a, thinnest_kbps);
+  uint32_t b_times = lc_relays__times (b, thinnest_kbps);
+
+  return a_times != b_times ? a_times > b_times : lc_relays__score (a) > lc_relays__score (b);
+}
+
+/* Keeps the best LC_RELAYS_MAX, best first. */
+static uint32_t
+lc_relays__insert (const LcBalancer *out[], uint32_t n, uint32_t thinnest_kbps, const LcBalancer *b)
+{
+  uint32_t max = LC_RELAYS_MAX;
   uint32_t at = n;
 
-  while (at > 0 && lc_relays__score (out[at - 1]) < score)
+  while (at > 0 && lc_relays__is_better (b, out[at - 1], thinnest_kbps))
     at--;
   if (at == max)
     return n;
@@ -32,32 +48,60 @@
   return b->dc == dc && b->state == LC_BALANCER_ACTIVE;
 }
 
+/* How many balancers count, and the thinnest link among them; 0 kbit/s: not all have said theirs.
+ */
 static uint32_t
-lc_relays__n_wanted (const LcView *view, LcDcId dc)
+lc_relays__count (const LcView *view, LcDcId dc, uint32_t *thinnest_kbps)
 {
   uint32_t n = 0;
 
+  *thinnest_kbps = UINT32_MAX;
   for (guint i = 0; i < view->balancers->len; i++)
-    n += lc_relays__counts (&g_array_index (view->balancers, LcBalancer, i), dc) ? 1 : 0;
-  if (n <= LC_RELAYS_ABOVE)
-    return 0;
-  return CLAMP (n / LC_RELAYS_BALANCERS, LC_RELAYS_MIN, LC_RELAYS_MAX);
+    {
+      const LcBalancer *b = &g_array_index (view->balancers, LcBalancer, i);
+
+      if (!lc_relays__counts (b, dc))
+        continue;
+      *thinnest_kbps = MIN (*thinnest_kbps, b->link_kbps);
+      n++;
+    }
+  return n;
+}
+
+/* Of the best `n_best`, how many are relays for `n` balancers. */
+static uint32_t
+lc_relays__n_wanted (const LcBalancer *const best[],
+                     uint32_t n_best,
+                     uint32_t n,
+                     uint32_t thinnest_kbps)
+{
+  uint32_t wanted = LC_RELAYS_WIDE_MIN;
+
+  if (lc_relays__times (best[LC_RELAYS_WIDE_MIN - 1], thinnest_kbps) == 1)
+    return CLAMP (n / LC_RELAYS_BALANCERS, LC_RELAYS_MIN, LC_RELAYS_MAX);
+  while (wanted < n_best &&
+         n > wanted * LC_RELAYS_BALANCERS * lc_relays__times (best[wanted - 1], thinnest_kbps))
+    wanted++;
+  return wanted;
 }
 
 uint32_t
 lc_relays_list (const LcView *view, LcDcId dc, const LcBalancer *out[LC_RELAYS_MAX])
 {
-  uint32_t max = lc_relays__n_wanted (view, dc);
+  uint32_t thinnest_kbps;
+  uint32_t n_balancers = lc_relays__count (view, dc, &thinnest_kbps);
   uint32_t n = 0;
 
-  for (guint i = 0; max > 0 && i < view->balancers->len; i++)
+  if (n_balancers <= LC_RELAYS_ABOVE)
+    return 0;
+  for (guint i = 0; i < view->balancers->len; i++)
     {
       const LcBalancer *b = &g_array_index (view->balancers, LcBalancer, i);
 
       if (lc_relays__counts (b, dc))
-        n = lc_relays__insert (out, n, max, b);
+        n = lc_relays__insert (out, n, thinnest_kbps, b);
     }
-  return n;
+  return lc_relays__n_wanted (out, n, n_balancers, thinnest_kbps);
 }
 
 bool
--- a/src/core/member/lc-relays.h
+++ b/src/core/member/lc-relays.h
@@ -7,6 +7,13 @@
  * first active balancers by a hash of their names, so every node that knows the view knows them,
  * and the death of one promotes one.
  *
+ * WIDE LINKS
+ *   After a loss of everything a relay hands on the announcements of all: 1,000 members are some
+ * 90 KB for each balancer below, 1.8 MB a relay, 1.5 s of a link of 10 Mbit/s.  Where all balancers
+ * of a data centre have said how wide their links are, and two are much wider than the thinnest,
+ * the widest are its relays, as many as can carry equal shares: LC_RELAYS_BALANCERS for each time
+ * that a relay's link is as wide as the thinnest, LC_RELAYS_TIMES_MAX times at most.
+ *
  * HOW TO USE IT
  *     n = lc_relays_list (&view, dc, relays);              0: the data centre has none, all direct
  *     if (lc_relays_is_direct (&view, balancer)) ...       linked to control itself
@@ -30,6 +37,8 @@
     LC_RELAYS_MIN = 3,
     LC_RELAYS_MAX = 24,
     LC_RELAYS_BALANCERS = 20, /* for each relay: keeps one below the control allowance */
+    LC_RELAYS_WIDE_MIN = 2,   /* relays where links are wide: a balancer below uses two */
+    LC_RELAYS_TIMES_MAX = 8,  /* more than that a processor does not carry either */
   };
 
   uint32_t lc_relays_list (const LcView *view, LcDcId dc, const LcBalancer *out[LC_RELAYS_MAX]);
--- a/src/io/lc-wire-view.c
+++ b/src/io/lc-wire-view.c
@@ -49,6 +49,7 @@
   message->ipv4 = b->ipv4;
   message->peer_port = b->peer_port;
   message->flow_port = b->flow_port;
+  message->link_kbps = b->link_kbps;
   message->name = (char *)b->name;
 }
 
@@ -258,6 +259,7 @@
   b->ipv4 = message->ipv4;
   b->peer_port = (uint16_t)message->peer_port;
   b->flow_port = (uint16_t)message->flow_port;
+  b->link_kbps = message->link_kbps;
   return lc_wire_view__copy (b->name, sizeof b->name, message->name, error);
 }
 
--- a/tests/flow/test-flow-finder.c
+++ b/tests/flow/test-flow-finder.c
@@ -212,6 +212,64 @@
 }
 END_TEST
 
+/* After a loss of all power each endpoint is announced anew, and for a second agents' views differ
+ * by that.  An agent with a newer view knows no endpoint that one with an older view does not know:
+ * the callers are told at once.  One that came since may hold the flow, and is waited for. */
+static const struct
+{
+  const char *what;
+  bool has_come; /* an endpoint that was not there before */
+  uint32_t n_told_at_once;
+} NEWER_VIEWS[] = {
+  { "endpoints were lost and are back", false, RW_N_FLOWS },
+  { "an endpoint has come as well", true, 0 },
+};
+
+static uint32_t
+told_within_a_copy (RwWorld *w)
+{
+  for (uint32_t f = 0; f < RW_N_FLOWS; f++)
+    {
+      LcPacket p = rw_packet_of (f, false);
+
+      (void)rw_send (w, &p);
+    }
+  pass_until_copy (w, 0);
+  return rw_take_resets (w);
+}
+
+START_TEST (test_restarts_hold_no_answer_back)
+{
+  uint32_t n_told;
+  RwWorld w;
+
+  rw_start_sized (&w, N_SMALL, N_SMALL + 1, true);
+  w.idle_us = 20 * LC_US_PER_S;
+  rw_settle (&w);
+  for (int i = 0; i < N_SMALL; i++)
+    {
+      rw_put_endpoint (&w, i, LC_ENDPOINT_LOST);
+      rw_put_endpoint (&w, i, LC_ENDPOINT_ACTIVE);
+    }
+  if (NEWER_VIEWS[_i].has_come)
+    rw_put_endpoint (&w, N_SMALL, LC_ENDPOINT_ACTIVE);
+  rw_show_agent (&w, 5); /* alone */
+  n_told = told_within_a_copy (&w);
+  if (NEWER_VIEWS[_i].n_told_at_once > 0)
+    ck_assert_msg (n_told >= NEWER_VIEWS[_i].n_told_at_once, "%s: %u", NEWER_VIEWS[_i].what, n_told);
+  else
+    ck_assert_msg (n_told < RW_N_FLOWS / 4, "%s: %u", NEWER_VIEWS[_i].what, n_told);
+  rw_show_view (&w);
+  for (int copy = 1; copy < N_COPIES && n_told < RW_N_FLOWS; copy++)
+    {
+      n_told += told_within_a_copy (&w);
+      pass_until_copy (&w, copy);
+    }
+  ck_assert_msg (n_told >= RW_N_FLOWS, "%s: %u in the end", NEWER_VIEWS[_i].what, n_told);
+  rw_stop (&w);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -221,6 +279,8 @@
   tcase_set_timeout (tcase, 30);
   tcase_add_loop_test (tcase, test_held_flows_are_reached, 0, (int)G_N_ELEMENTS (HELD));
   tcase_add_loop_test (tcase, test_lost_flows_are_told, 0, (int)G_N_ELEMENTS (LOST));
+  tcase_add_loop_test (tcase, test_restarts_hold_no_answer_back, 0,
+                       (int)G_N_ELEMENTS (NEWER_VIEWS));
   tcase_add_test (tcase, test_silent_endpoint_holds_the_answer_back);
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
