Searches for lost flows wait for endpoints that are not known, not for restarts of known ones

Cause: a searcher held its answer back while any member knew a newer set of members. Change: members tell the revision of the newest endpoint or address that they know (LcService.roster_revision); restarts, losses and returns of known ones don't move it. Older programs tell none: their newer sets hold a search back as before.

--- a/proto/lc-flow.pb-c.c
+++ b/proto/lc-flow.pb-c.c
@@ -304,7 +304,7 @@
   (ProtobufCMessageInit) lc__wire__flow_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__flow_message__field_descriptors[19] =
+static const ProtobufCFieldDescriptor lc__wire__flow_message__field_descriptors[20] =
 {
   {
     "kind",
@@ -534,6 +534,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "roster",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__FlowMessage, roster),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__flow_message__field_indices_by_name[] = {
   15,   /* field[15] = at_work */
@@ -551,6 +563,7 @@
   7,   /* field[7] = open_flows */
   5,   /* field[5] = port */
   6,   /* field[6] = revision */
+  19,   /* field[19] = roster */
   18,   /* field[18] = round */
   1,   /* field[1] = service_id */
   11,   /* field[11] = to_id */
@@ -559,7 +572,7 @@
 static const ProtobufCIntRange lc__wire__flow_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor lc__wire__flow_message__descriptor =
 {
@@ -569,7 +582,7 @@
   "Lc__Wire__FlowMessage",
   "lc.wire",
   sizeof(Lc__Wire__FlowMessage),
-  19,
+  20,
   lc__wire__flow_message__field_descriptors,
   lc__wire__flow_message__field_indices_by_name,
   1,  lc__wire__flow_message__number_ranges,
--- a/proto/lc-flow.pb-c.h
+++ b/proto/lc-flow.pb-c.h
@@ -70,10 +70,11 @@
   uint32_t knowledge;
   uint64_t membership;
   uint32_t round;
+  uint64_t roster;
 };
 #define LC__WIRE__FLOW_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__flow_message__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 /* Lc__Wire__FlowEntry methods */
--- a/proto/lc-view.pb-c.c
+++ b/proto/lc-view.pb-c.c
@@ -909,7 +909,7 @@
   (ProtobufCMessageInit) lc__wire__endpoint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__service__field_descriptors[10] =
+static const ProtobufCFieldDescriptor lc__wire__service__field_descriptors[11] =
 {
   {
     "id",
@@ -1031,6 +1031,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "roster_revision",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__Service, roster_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__service__field_indices_by_name[] = {
   4,   /* field[4] = caller_limit */
@@ -1043,11 +1055,12 @@
   3,   /* field[3] = request_timeout_ms */
   5,   /* field[5] = retry_percent */
   8,   /* field[8] = returns_packets */
+  10,   /* field[10] = roster_revision */
 };
 static const ProtobufCIntRange lc__wire__service__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor lc__wire__service__descriptor =
 {
@@ -1057,7 +1070,7 @@
   "Lc__Wire__Service",
   "lc.wire",
   sizeof(Lc__Wire__Service),
-  10,
+  11,
   lc__wire__service__field_descriptors,
   lc__wire__service__field_indices_by_name,
   1,  lc__wire__service__number_ranges,
--- a/proto/lc-view.pb-c.h
+++ b/proto/lc-view.pb-c.h
@@ -101,10 +101,11 @@
   uint32_t objective_latency_ms;
   protobuf_c_boolean returns_packets;
   uint32_t cold_rate_mrps;
+  uint64_t roster_revision;
 };
 #define LC__WIRE__SERVICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__service__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Lc__Wire__Address
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -233,6 +233,7 @@
   a->previous_sets = a->sets;
   memset (&a->sets, 0, sizeof a->sets);
   lc_candidate_sets_compile (&a->sets, service);
+  a->roster = service != NULL ? service->roster_revision : 0;
   lc_candidate_sets_place (&a->sets, view);
   lc_flow_list_remember_settling (a, now_us);
   lc_flow_agent__note_homes (a, view);
@@ -346,6 +347,7 @@
   out->load.is_warm = a->is_warm;
   out->load.knowledge = lc_flow_finder_knowledge (a, now_us);
   out->membership = a->sets.membership_revision;
+  out->roster = a->roster;
   return true;
 }
 
--- a/src/core/flow/lc-flow-agent.h
+++ b/src/core/flow/lc-flow-agent.h
@@ -184,6 +184,7 @@
     LcCandidateSets settling_sets; /* as they were before a set settled, for LC_FLOW_SETTLE_US */
     int64_t settling_until_us;
     int64_t settling_from_us;
+    LcRevision roster; /* of its service: LcService.roster_revision */
     uint32_t sets_version;
     uint64_t homes_digest; /* of the addresses with homes, and where those are, in the view */
     uint32_t n_behind;
--- a/src/core/flow/lc-flow-finder.c
+++ b/src/core/flow/lc-flow-finder.c
@@ -48,6 +48,16 @@
   return (LcFlowSearchMember){ m->load.agent.id, m->load.agent.ipv4 };
 }
 
+/* The newest endpoint that the sender knows.  An older program tells of sets alone: one that is
+ * newer than the set here may have an endpoint that is not known here. */
+static LcRevision
+lc_flow_finder__newest (const LcFlowAgent *a, const LcFlowMessage *m)
+{
+  if (m->roster != 0)
+    return m->roster;
+  return m->membership > a->sets.membership_revision ? a->roster + 1 : 0;
+}
+
 /* === private: searchers ===================================================================== */
 
 /* The agents that take turns in searching for this flow: those that score highest for its shard. */
@@ -229,7 +239,7 @@
   search->is_new_packet = true;
   a->next_try = MIN (a->next_try, lc_flow_search_place (a->searches, search));
   if (is_cleared)
-    lc_flow_search_clear (a->searches, &packet->key, &self, a->sets.membership_revision, now_us);
+    lc_flow_search_clear (a->searches, &packet->key, &self, a->roster, now_us);
   return search;
 }
 
@@ -283,7 +293,7 @@
 
   if (packet->mark == a->desc.self.id)
     {
-      lc_flow_search_clear (a->searches, &packet->key, &self, a->sets.membership_revision, now_us);
+      lc_flow_search_clear (a->searches, &packet->key, &self, a->roster, now_us);
       lc_flow_finder__take_lost (a);
     }
   else if (peer != NULL)
@@ -334,7 +344,8 @@
   if (a->searches == NULL)
     return;
   for (uint32_t i = 0; i < m->n; i++)
-    lc_flow_search_clear (a->searches, &m->entries[i].key, &sender, m->membership, now_us);
+    lc_flow_search_clear (a->searches, &m->entries[i].key, &sender, lc_flow_finder__newest (a, m),
+                          now_us);
   lc_flow_finder__take_lost (a);
 }
 
@@ -382,7 +393,7 @@
         lc_flow_finder__found (a, &e->key, &owner);
     }
   if (m->load.knowledge == LC_FLOW_KNOWS_ALL)
-    lc_flow_search_answer (a->searches, m->round, &sender, m->membership, now_us);
+    lc_flow_search_answer (a->searches, m->round, &sender, lc_flow_finder__newest (a, m), now_us);
   else
     lc_flow_search_cannot_say (a->searches, m->round, &sender);
   lc_flow_finder__take_lost (a);
@@ -403,8 +414,8 @@
       if (lc_flow_finder__is_awaited (p, now_us))
         members[n++] = (LcFlowSearchMember){ p->agent.id, p->agent.ipv4 };
     }
-  if (!lc_flow_searches_has_members (a->searches, members, n, a->sets.membership_revision))
-    lc_flow_searches_set_members (a->searches, members, n, a->sets.membership_revision);
+  if (!lc_flow_searches_has_members (a->searches, members, n, a->roster))
+    lc_flow_searches_set_members (a->searches, members, n, a->roster);
   lc_flow_finder__take_lost (a);
   g_free (members);
 }
--- a/src/core/flow/lc-flow-message.h
+++ b/src/core/flow/lc-flow-message.h
@@ -59,7 +59,8 @@
     LcServiceId service_id;
     LcFlowLoad load; /* of the sender; its agent and revision count in every kind */
     LcCandidate to;
-    LcRevision membership; /* newest set of members that the sender knows */
+    LcRevision membership; /* newest candidate set that the sender knows */
+    LcRevision roster;     /* and newest endpoint; 0: an older program does not tell it */
     uint32_t round;        /* ASK, and the ANSWER to it */
     uint32_t n;
     LcFlowEntry entries[LC_FLOW_BATCH_MAX];
--- a/src/core/flow/lc-flow-search.h
+++ b/src/core/flow/lc-flow-search.h
@@ -29,8 +29,10 @@
  * LIMITS
  *   LC_FLOW_SEARCHES at a time; a newer one takes the place of the oldest with a like hash, whose
  *   caller then waits for its own next packet.  In a service of more than LC_FLOW_SEARCH_MEMBERS
- *   endpoints owners are found, but no flow is ever said to be nobody's.  An endpoint that knows
- *   of a newer set of members holds a search open until that set is known here, too.
+ *   endpoints owners are found, but no flow is ever said to be nobody's.  A member that knows of an
+ *   endpoint that came later (`membership`: the revision of the newest) holds a search open until
+ *   that one is known here, too.  Restarts and losses of known ones hold nothing open: after a loss
+ *   of all power every one of 682 endpoints began anew, and searches waited 1 s for the views.
  */
 #ifndef LC_FLOW_SEARCH_H
 #define LC_FLOW_SEARCH_H
--- a/src/core/lc-view.c
+++ b/src/core/lc-view.c
@@ -453,10 +453,13 @@
   if (at < s->n_endpoints && s->endpoints[at].id == e->id)
     {
       lc_view__note_change (view, s, &s->endpoints[at], e, revision);
+      if (s->endpoints[at].ipv4 != e->ipv4)
+        s->roster_revision = revision;
       s->endpoints[at] = *e;
       return 0;
     }
   lc_view__note_change (view, s, NULL, e, revision);
+  s->roster_revision = revision;
   s->endpoints = g_renew (LcEndpoint, s->endpoints, s->n_endpoints + 1);
   memmove (&s->endpoints[at + 1], &s->endpoints[at], (s->n_endpoints - at) * sizeof *e);
   s->endpoints[at] = *e;
@@ -561,6 +564,8 @@
       lc_view__settle_service (s, UINT64_MAX);
       g_hash_table_remove (view->unsettled, s);
       s->membership_revision = service->membership_revision;
+      if (service->roster_revision != 0) /* an older program does not tell it */
+        s->roster_revision = service->roster_revision;
     }
 }
 
--- a/src/core/lc-view.h
+++ b/src/core/lc-view.h
@@ -103,11 +103,12 @@
     LcServiceId id;
     char name[LC_NAME_MAX];
     LcRevision membership_revision; /* of the last change of the candidate set */
-    uint32_t request_timeout_ms;    /* 0: 30 000 */
-    uint32_t caller_limit;          /* requests a caller may have in flight; 0: 64 */
-    uint32_t retry_percent;         /* retry budget as a share of requests; 0: 10 */
-    uint32_t objective_ppm;         /* share of good requests and flows; 0: 999 000 */
-    uint32_t objective_latency_ms;  /* bound of a good request; 0: 500 */
+    LcRevision roster_revision;  /* when an endpoint or an address of one came that was not known */
+    uint32_t request_timeout_ms; /* 0: 30 000 */
+    uint32_t caller_limit;       /* requests a caller may have in flight; 0: 64 */
+    uint32_t retry_percent;      /* retry budget as a share of requests; 0: 10 */
+    uint32_t objective_ppm;      /* share of good requests and flows; 0: 999 000 */
+    uint32_t objective_latency_ms; /* bound of a good request; 0: 500 */
     uint32_t cold_rate_mrps; /* thousandths of a request a second that a cold endpoint bears; 0: as
                                 many as it has slots for */
     bool returns_packets;    /* its backend servers return what they do not hold: no former sets */
@@ -149,10 +150,11 @@
     LC_VIEW_ADDRESS = 8,
     LC_VIEW_ADDRESS_REMOVED = 9,
     LC_VIEW_ROUTE = 10,
-    LC_VIEW_ROUTE_REMOVED = 11,  /* uses route.id */
-    LC_VIEW_SETTLED = 12,        /* uses settled_revision */
-    LC_VIEW_FORMER = 13,         /* in snapshots only: uses former */
-    LC_VIEW_SERVICE_MEMBERS = 14 /* in snapshots only: service.id and service.membership_revision */
+    LC_VIEW_ROUTE_REMOVED = 11, /* uses route.id */
+    LC_VIEW_SETTLED = 12,       /* uses settled_revision */
+    LC_VIEW_FORMER = 13,        /* in snapshots only: uses former */
+    LC_VIEW_SERVICE_MEMBERS =
+        14 /* in snapshots only: service.id and its two revisions of members */
   } LcViewOpKind;
 
   /* One committed change.  A tagged union: `kind` says which member counts. */
--- a/src/io/lc-flow-wire.c
+++ b/src/io/lc-flow-wire.c
@@ -71,6 +71,7 @@
   w.is_warm = m->load.is_warm;
   w.knowledge = m->load.knowledge;
   w.membership = m->membership;
+  w.roster = m->roster;
   w.round = m->round;
   w.to_id = m->to.id;
   w.to_instance = m->to.instance;
@@ -104,6 +105,7 @@
   m->load.is_warm = w->is_warm;
   m->load.knowledge = (LcFlowKnowledge)w->knowledge;
   m->membership = w->membership;
+  m->roster = w->roster;
   m->round = w->round;
   m->to.id = w->to_id;
   m->to.instance = w->to_instance;
--- a/src/io/lc-wire-view.c
+++ b/src/io/lc-wire-view.c
@@ -62,6 +62,7 @@
   w->service.id = s->id;
   w->service.name = (char *)s->name;
   w->service.membership_revision = s->membership_revision;
+  w->service.roster_revision = s->roster_revision;
   w->service.request_timeout_ms = s->request_timeout_ms;
   w->service.caller_limit = s->caller_limit;
   w->service.retry_percent = s->retry_percent;
@@ -282,6 +283,7 @@
 {
   s->id = message->id;
   s->membership_revision = message->membership_revision;
+  s->roster_revision = message->roster_revision;
   s->request_timeout_ms = message->request_timeout_ms;
   s->caller_limit = message->caller_limit;
   s->retry_percent = message->retry_percent;
--- a/tests/flow/test-flow-finder.c
+++ b/tests/flow/test-flow-finder.c
@@ -256,7 +256,8 @@
   rw_show_agent (&w, 5); /* alone */
   n_told = told_within_a_copy (&w);
   if (NEWER_VIEWS[_i].n_told_at_once > 0)
-    ck_assert_msg (n_told >= NEWER_VIEWS[_i].n_told_at_once, "%s: %u", NEWER_VIEWS[_i].what, n_told);
+    ck_assert_msg (n_told >= NEWER_VIEWS[_i].n_told_at_once, "%s: %u", NEWER_VIEWS[_i].what,
+                   n_told);
   else
     ck_assert_msg (n_told < RW_N_FLOWS / 4, "%s: %u", NEWER_VIEWS[_i].what, n_told);
   rw_show_view (&w);
