Reports: a start that a late word displaced is believed again when that one is silent

Cause, by a new property: the last word of a crashed start, held back by a cut and unknown to this agent, comes while its successor is silent for the same reason. It was taken as a start behind a clock step, the successor counted as an earlier one from then on, and its words were late for ever: the backend server got no new work again. Change: one that counts as earlier and began later by its own clock is believed when the present one is silent (3 s). Ruled out: later times always win (a clock that stepped back would let a dead start's words displace the living one). test-report test_late_word_in_a_silence and prop-report's second property: the property failed before the change, both hold after it.

--- a/src/core/member/lc-backend-status.c
+++ b/src/core/member/lc-backend-status.c
@@ -86,9 +86,14 @@
   /* A later time under the same id proves a later start, also of one that the view named before. */
   if (is_same_id && have_both)
     return LC_BACKEND_ORDER_LATER;
-  return lc_backend_status__is_earlier (s, lc_backend_status__instance_of (report))
-             ? LC_BACKEND_ORDER_EARLIER
-             : LC_BACKEND_ORDER_LATER;
+  if (!lc_backend_status__is_earlier (s, lc_backend_status__instance_of (report)))
+    return LC_BACKEND_ORDER_LATER;
+  /* One that counts as earlier and began later by its own clock was displaced by a word that came
+   * late, while it was silent itself: it is believed again when that one is silent in its turn. */
+  return have_both && report->born_ms > s->newest.born_ms &&
+                 lc_backend_status__is_silent (s, now_us)
+             ? LC_BACKEND_ORDER_LATER
+             : LC_BACKEND_ORDER_EARLIER;
 }
 
 static void
--- a/tests/adapter/prop-report.cc
+++ b/tests/adapter/prop-report.cc
@@ -97,5 +97,38 @@
       }
   });
 
+  /* A cut holds reports back and heals: the last word of a start that has crashed may come after
+   * its successor registered, and while that one's own reports are still under way. */
+  ok = rc::check ("a start that goes on reporting is known within seconds, whatever came late",
+                  [] {
+                    const bool has_new_ids = *rc::gen::arbitrary<bool> ();
+                    std::vector<Word> late = *words ();
+                    LcBackendStatusDesc desc = {};
+                    LcBackendStatus status;
+                    int64_t now_us = 0;
+
+                    lc_backend_status_init (&status, &desc, 0);
+                    for (const Word &w : late)
+                      {
+                        LcBackendReport r = report_of (w);
+
+                        now_us += *rc::gen::inRange<int64_t> (0, 6) * LC_US_PER_S;
+                        r.id[0] = has_new_ids ? (char)('a' + w.start) : 'a';
+                        r.state = w.start == N_STARTS ? LC_BACKEND_READY : r.state;
+                        (void)lc_backend_status_take (&status, &r, now_us);
+                      }
+                    for (uint64_t i = 1; i <= 8; i++)
+                      {
+                        LcBackendReport r = report_of ({ N_STARTS, N_SEQUENCES + i, false });
+
+                        now_us += 1200 * LC_US_PER_MS;
+                        r.id[0] = has_new_ids ? (char)('a' + N_STARTS) : 'a';
+                        (void)lc_backend_status_take (&status, &r, now_us);
+                      }
+                    RC_ASSERT (status.newest.born_ms == 1000 + N_STARTS);
+                    RC_ASSERT (lc_backend_status_is_open (&status, now_us));
+                  }) &&
+       ok;
+
   return ok ? 0 : 1;
 }
--- a/tests/adapter/test-report.c
+++ b/tests/adapter/test-report.c
@@ -420,6 +420,46 @@
 }
 END_TEST
 
+/* The last word of a crashed start, held back by a cut, comes while its successor is silent for the
+ * same reason, to an agent that knows nothing of the crashed one.  The successor went on reporting
+ * and was never believed again: each of its words counted as one of an earlier start. */
+START_TEST (test_late_word_in_a_silence)
+{
+  static const struct
+  {
+    int64_t at_ms;
+    const char *id;
+    uint64_t born_ms;
+    uint64_t sequence;
+    LcBackendNews expected;
+  } WORDS[] = {
+    { 0, "b", 2000, 1, LC_BACKEND_STARTED },
+    { 5000, "a", 1000, 90, LC_BACKEND_STARTED }, /* as behind a clock step: nobody else speaks */
+    { 5100, "b", 2000, 5, LC_BACKEND_LATE },
+    { 6300, "b", 2000, 6, LC_BACKEND_LATE },
+    { 8100, "b", 2000, 8, LC_BACKEND_STARTED }, /* "a" has been silent since */
+    { 8200, "a", 1000, 91, LC_BACKEND_LATE },
+    { 9300, "b", 2000, 9, LC_BACKEND_SAME },
+  };
+  LcBackendStatusDesc desc = { 0 };
+  LcBackendStatus status;
+
+  lc_backend_status_init (&status, &desc, 0);
+  for (size_t i = 0; i < sizeof WORDS / sizeof WORDS[0]; i++)
+    {
+      LcBackendReport report = { .state = LC_BACKEND_READY,
+                                 .sequence = WORDS[i].sequence,
+                                 .born_ms = WORDS[i].born_ms };
+
+      (void)strcpy (report.id, WORDS[i].id);
+      ck_assert_msg (lc_backend_status_take (&status, &report, WORDS[i].at_ms * LC_US_PER_MS) ==
+                         WORDS[i].expected,
+                     "word %zu", i);
+    }
+  ck_assert (lc_backend_status_is_open (&status, 9300 * LC_US_PER_MS));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -434,6 +474,7 @@
   tcase_add_test (tcase, test_report_of_an_earlier_start);
   tcase_add_test (tcase, test_earlier_start_after_a_restart);
   tcase_add_test (tcase, test_new_id_behind_a_clock_step);
+  tcase_add_test (tcase, test_late_word_in_a_silence);
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
 }
