Relays that have lost control's word don't count as working

Cause, by reading the choice of relays with wide links: those are VMs of the core. A cut of the core that holds both of a data centre would leave its balancers with a view that grows old, though they reach the part that leads; relays still answer them. Ruled out: a thin relay beside the wide ones as a witness (twice the links, another rule). member-links test_relays_without_control.

--- a/src/controller/lc-member-choose.c
+++ b/src/controller/lc-member-choose.c
@@ -288,17 +288,25 @@
   lc_upstreams_end (&member->relays);
 }
 
+/* A relay that answers and is itself cut off from control serves a view that grows old. */
+static bool
+lc_member__is_vouched (const LcMemberSlot *slot, int64_t now_us)
+{
+  return now_us - slot->vouched_us <= lc_member__unvouched_us (slot->member);
+}
+
 static bool
 lc_member__has_working_relay (const LcMember *member, int64_t now_us)
 {
   for (uint32_t i = member->first_moving; i < member->n_slots; i++)
-    if (member->slots[i].is_open && member->slots[i].is_known &&
-        !lc_member__is_silent (&member->slots[i], now_us))
+    if (lc_member__is_usable (&member->slots[i], now_us) &&
+        lc_member__is_vouched (&member->slots[i], now_us))
       return true;
   return false;
 }
 
-/* Through relays while one of them answers; straight to control otherwise. */
+/* Through relays while one of them answers and has control's word; straight to control otherwise.
+ */
 void
 lc_member__choose_balancer_upstreams (LcMember *member, int64_t now_us)
 {
--- a/src/controller/lc-member-private.h
+++ b/src/controller/lc-member-private.h
@@ -12,6 +12,8 @@
 
 /* Silence after which an upstream is left. */
 int64_t lc_member__silent_us (const LcMember *member);
+/* Age of control's word after which a relay does not count as working. */
+int64_t lc_member__unvouched_us (const LcMember *member);
 /* Uniform in [0, span). */
 int64_t lc_member__jitter_us (int64_t span_us);
 const char *lc_member__name (const LcMember *member);
--- a/src/controller/lc-member-upstream.c
+++ b/src/controller/lc-member-upstream.c
@@ -38,6 +38,13 @@
   return lc_member__renew_us (member) * 2 + lc_member__renew_us (member) / 2;
 }
 
+/* A renewal here, one at the relay, and as much as a silence takes beyond two. */
+int64_t
+lc_member__unvouched_us (const LcMember *member)
+{
+  return lc_member__silent_us (member) + lc_member__renew_us (member);
+}
+
 /* Uniform in [0, span). */
 int64_t
 lc_member__jitter_us (int64_t span_us)
@@ -365,6 +372,8 @@
   slot->is_leader = status->is_leader;
   slot->stands_by = status->stands_by;
   slot->is_confirmed = status->is_confirmed;
+  if (status->is_confirmed)
+    slot->vouched_us = now_us - (int64_t)MIN (status->control_age_ms, INT32_MAX) * LC_US_PER_MS;
   /* What upstream vouches for is its own revision: older knowledge says nothing of ours. */
   if (status->is_confirmed && status->revision >= member->sync.view.revision)
     {
@@ -447,6 +456,7 @@
   slot->is_subscribed = false;
   slot->heard_us = 0;
   slot->opened_us = now_us;
+  slot->vouched_us = now_us;
   slot->subscribe_at_us = 0;
   slot->renew_at_us = 0;
   /* A member that is held says that it listens by a renewal: it is not known, but answered. */
--- a/src/controller/lc-member.h
+++ b/src/controller/lc-member.h
@@ -93,6 +93,7 @@
   LcRevision revision; /* of its view, as it said last */
   int64_t opened_us;   /* retargeted or link up */
   int64_t heard_us;    /* last frame; 0: none since opened */
+  int64_t vouched_us;  /* control's word that it passed on last, or when the link came up */
   int64_t renew_at_us;
   int64_t renewed_us;
   int64_t subscribe_at_us; /* not before */
--- a/tests/member/test-member-links.c
+++ b/tests/member/test-member-links.c
@@ -672,6 +672,37 @@
 }
 END_TEST
 
+static bool
+are_all_direct (void *user)
+{
+  return n_control_links () == N_LARGE * N_CONTROL;
+}
+
+/* Relays that answer and have heard nothing of control for longer than a lease: each balancer asks
+ * control itself, and goes back to its relays when they have its word again.  Relays are VMs of the
+ * core where those have the widest links, and a cut of the core leaves all others able to reach the
+ * part that leads. */
+START_TEST (test_relays_without_control)
+{
+  World *w = &world;
+
+  converge ();
+  start_large (w);
+  ck_assert (fake_run_until (w->loop, is_relayed, w, 2 * PATIENCE_MS));
+  for (uint32_t k = 0; k < N_CONTROL; k++)
+    w->control[k].is_cut = true;
+  ck_assert (fake_run_until (w->loop, are_all_direct, w, 2 * PATIENCE_MS));
+  for (uint32_t k = 0; k < N_CONTROL; k++)
+    w->control[k].is_cut = false;
+  ck_assert (fake_run_until (w->loop, is_relayed, w, 4 * PATIENCE_MS));
+  for (uint32_t i = N_BALANCERS; i < N_LARGE; i++)
+    {
+      ck_assert_uint_eq (large (i)->n_reverted, 0);
+      fake_node_kill (large (i));
+    }
+}
+END_TEST
+
 /* Control VMs that stand by know no view.  Agents whose first choices are two of them must go on to
  * the seed that has one; with so many names some agents rank the two first. */
 typedef struct
@@ -892,6 +923,7 @@
   tcase_add_test (tc, test_follower_lags);
   tcase_add_test (tc, test_cut_off_node_says_how_old);
   tcase_add_test (tc, test_relays);
+  tcase_add_test (tc, test_relays_without_control);
   tcase_add_test (tc, test_bad_frames_are_counted);
   tcase_add_test (tc, test_seeds_that_stand_by);
   tcase_add_test (tc, test_all_seeds_stand_by);
