--- a/src/cli/lc-explain.c
+++ b/src/cli/lc-explain.c
@@ -36,8 +36,9 @@
 }
 
 static void
-lc_explain__add (LcExplainLog *log, const char *text)
+lc_explain__add (void *user, uint64_t number, const char *text)
 {
+  LcExplainLog *log = user;
   const char *brace = strchr (text, '{');
   json_t *json = brace != NULL ? json_loads (brace, JSON_DISABLE_EOF_CHECK, NULL) : NULL;
   LcExplainLine line = { .json = json, .at_us = -1 };
@@ -81,10 +82,14 @@
 }
 
 int
-lc_explain_read (LcExplainLog *log, const char *path, LcError *error)
+lc_explain_each_line (const char *path,
+                      void (*each) (void *user, uint64_t number, const char *text),
+                      void *user,
+                      LcError *error)
 {
   bool is_stdin = strcmp (path, "-") == 0;
   FILE *in = is_stdin ? stdin : fopen (path, "r");
+  uint64_t number = 0;
   char *text = NULL;
   size_t size = 0;
 
@@ -92,13 +97,19 @@
     return lc_error_set (error, LC_ERR_NOT_FOUND, "name files that hold the programs' output",
                          "%s: %s", path, g_strerror (errno));
   while (getline (&text, &size, in) >= 0)
-    lc_explain__add (log, text);
+    each (user, ++number, text);
   free (text);
   if (!is_stdin)
     (void)fclose (in);
   return 0;
 }
 
+int
+lc_explain_read (LcExplainLog *log, const char *path, LcError *error)
+{
+  return lc_explain_each_line (path, lc_explain__add, log, error);
+}
+
 static gint
 lc_explain__compare_lines (gconstpointer a, gconstpointer b)
 {
--- a/src/cli/lc-explain.h
+++ b/src/cli/lc-explain.h
@@ -68,7 +68,12 @@
 
 void lc_explain_init (LcExplainLog *log);
 void lc_explain_finish (LcExplainLog *log);
-/* "-" reads standard input. */
+/* Calls `each` with the number, from 1, and the text of each line of a file; "-" reads standard
+ * input.  0, or LC_ERR_NOT_FOUND. */
+int lc_explain_each_line (const char *path,
+                          void (*each) (void *user, uint64_t number, const char *text),
+                          void *user,
+                          LcError *error);
 int lc_explain_read (LcExplainLog *log, const char *path, LcError *error);
 /* By time; lines of equal times stay in the order of the files. */
 void lc_explain_sort (LcExplainLog *log);
--- a/src/cli/lc-spread.c
+++ b/src/cli/lc-spread.c
@@ -2,10 +2,7 @@
 
 #include "lc-explain.h"
 
-#include <errno.h>
 #include <jansson.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 /* === private: processes ===================================================================== */
@@ -213,9 +210,17 @@
          strstr (text, "\"declaration.answered\"") != NULL;
 }
 
+typedef struct
+{
+  LcSpread *spread;
+  const char *path;
+} LcSpreadFile;
+
 static void
-lc_spread__add (LcSpread *s, const char *path, uint64_t number, const char *text)
+lc_spread__add (void *user, uint64_t number, const char *text)
 {
+  LcSpread *s = ((LcSpreadFile *)user)->spread;
+  const char *path = ((LcSpreadFile *)user)->path;
   const char *brace = strchr (text, '{');
   int64_t at_us = -1;
   json_t *line;
@@ -267,21 +272,9 @@
 int
 lc_spread_read (LcSpread *s, const char *path, LcError *error)
 {
-  bool is_stdin = strcmp (path, "-") == 0;
-  FILE *in = is_stdin ? stdin : fopen (path, "r");
-  uint64_t number = 0;
-  char *text = NULL;
-  size_t size = 0;
-
-  if (in == NULL)
-    return lc_error_set (error, LC_ERR_NOT_FOUND, "name files that hold the programs' output",
-                         "%s: %s", path, g_strerror (errno));
-  while (getline (&text, &size, in) >= 0)
-    lc_spread__add (s, path, ++number, text);
-  free (text);
-  if (!is_stdin)
-    (void)fclose (in);
-  return 0;
+  LcSpreadFile file = { s, path };
+
+  return lc_explain_each_line (path, lc_spread__add, &file, error);
 }
 
 static gint
