--- a/src/control/lc-control-http.c
+++ b/src/control/lc-control-http.c
@@ -2,7 +2,6 @@
 
 #include "io/lc-clock.h"
 #include "lc-control-json.h"
-#include "core/control/lc-home-check.h"
 #include "platform/lc-platform-declaration.h"
 #include "platform/lc-platform-evacuation.h"
 
@@ -14,7 +13,6 @@
   LC_CONTROL_HTTP_RESEND_US = 500000, /* a forwarded command may be lost: hand it over again */
   LC_CONTROL_HTTP_WAITING_MAX = 1024,
   LC_CONTROL_HTTP_HISTORY_MAX = 1000,
-  LC_CONTROL_HTTP_SHOWN_LOGS_PER_S = 20,
 };
 
 /* In the request's own memory, which h2o frees with it. */
@@ -75,13 +73,27 @@
   lc_control_http__send (req, 200, body);
 }
 
-static void
+void
 lc_control_http__fail (LcControlHttp *http, h2o_req_t *req, const LcError *error)
 {
   lc_metric_add (http->refused_total, 1);
   lc_http_answer_error (req, error);
 }
 
+/* The address of another control VM's HTTP port: all of them use the same one. */
+void
+lc_control_http__redirect (LcControlHttp *http, h2o_req_t *req, uint32_t ipv4)
+{
+  char *location = g_strdup_printf ("http://%u.%u.%u.%u:%u%.*s", ipv4 >> 24, (ipv4 >> 16) & 255,
+                                    (ipv4 >> 8) & 255, ipv4 & 255, http->desc.settings->http_port,
+                                    (int)req->path.len, req->path.base);
+  h2o_iovec_t value = h2o_strdup (&req->pool, location, SIZE_MAX);
+
+  g_free (location);
+  h2o_add_header (&req->pool, &req->res.headers, H2O_TOKEN_LOCATION, NULL, value.base, value.len);
+  lc_http_answer (req, 307, NULL, "{}", 2);
+}
+
 /* === private: waiting for a command to be applied =========================================== */
 
 static void
@@ -208,7 +220,16 @@
   lc_timer_start (&http->timer, LC_CONTROL_HTTP_TICK_MS);
 }
 
-static void
+int
+lc_control_http__check_room (const LcControlHttp *http, LcErrorCode code, LcError *error)
+{
+  if (http->waiting->len < LC_CONTROL_HTTP_WAITING_MAX)
+    return 0;
+  return lc_error_set (error, code, "send it again in a second", "%d requests wait already",
+                       LC_CONTROL_HTTP_WAITING_MAX);
+}
+
+void
 lc_control_http__wait (LcControlHttp *http, h2o_req_t *req, LcControlCommand *command)
 {
   LcControlWait *wait = g_new0 (LcControlWait, 1);
@@ -256,9 +277,8 @@
               ? lc_control_json_read_plan (&command, req->entity.base, req->entity.len, &error)
               : lc_control_json_read_confirm (&command, req->entity.base, req->entity.len, &error);
 
-  if (r == 0 && http->waiting->len >= LC_CONTROL_HTTP_WAITING_MAX)
-    r = lc_error_set (&error, LC_ERR_FULL, "send it again in a second", "%d requests wait already",
-                      LC_CONTROL_HTTP_WAITING_MAX);
+  if (r == 0)
+    r = lc_control_http__check_room (http, LC_ERR_FULL, &error);
   if (r == 0)
     r = lc_control_http__check_member (http, &command, &error);
   if (r < 0)
@@ -289,11 +309,9 @@
   const LcDataCentre *dc = lc_view_dc_by_name (&state->view, command->evacuation.data_centre);
   LcError error = { 0 };
 
-  if (http->waiting->len >= LC_CONTROL_HTTP_WAITING_MAX)
+  if (lc_control_http__check_room (http, LC_ERR_UNAVAILABLE, &error) < 0)
     {
       lc_control_http__log_evacuation (command, "refused: too many wait");
-      (void)lc_error_set (&error, LC_ERR_UNAVAILABLE, "send it again in a second",
-                          "%d requests wait already", LC_CONTROL_HTTP_WAITING_MAX);
       lc_control_http__fail (http, req, &error);
       return;
     }
@@ -335,106 +353,7 @@
   lc_control_http__evacuate (http, req, &command);
 }
 
-/* === private: numbered declarations ========================================================= */
-
-static void
-lc_control_http__declare (LcControlHttp *http, h2o_req_t *req)
-{
-  LcControlCommand command = { .kind = LC_COMMAND_NUMBERED };
-  LcError error = { 0 };
-  int r =
-      lc_platform_declaration_read (&command.numbered, req->entity.base, req->entity.len, &error);
-
-  if (r == 0)
-    r = lc_home_check (&command.numbered.declaration, &lc_replica_state (http->desc.replica)->view,
-                       http->desc.settings->regions, &error);
-  if (r == 0 && http->waiting->len >= LC_CONTROL_HTTP_WAITING_MAX)
-    r = lc_error_set (&error, LC_ERR_UNAVAILABLE, "send it again in a second",
-                      "%d requests wait already", LC_CONTROL_HTTP_WAITING_MAX);
-  if (r < 0)
-    {
-      LC_INFO ("declaration.refused", "message", LC_STR (error.message));
-      lc_control_command_finish (&command);
-      lc_control_http__fail (http, req, &error);
-      return;
-    }
-  (void)g_strlcpy (command.who, "declaration", sizeof command.who);
-  command.wall_us = lc_clock_wall_us ();
-  lc_control_http__wait (http, req, &command);
-}
-
-/* The address of another control VM's HTTP port: all of them use the same one. */
-static void
-lc_control_http__redirect (LcControlHttp *http, h2o_req_t *req, uint32_t ipv4)
-{
-  char *location = g_strdup_printf ("http://%u.%u.%u.%u:%u%.*s", ipv4 >> 24, (ipv4 >> 16) & 255,
-                                    (ipv4 >> 8) & 255, ipv4 & 255, http->desc.settings->http_port,
-                                    (int)req->path.len, req->path.base);
-  h2o_iovec_t value = h2o_strdup (&req->pool, location, SIZE_MAX);
-
-  g_free (location);
-  h2o_add_header (&req->pool, &req->res.headers, H2O_TOKEN_LOCATION, NULL, value.base, value.len);
-  lc_http_answer (req, 307, NULL, "{}", 2);
-}
-
-/* Who was told what of the newest declaration, and by what right. */
-static void
-lc_control_http__log_shown (LcControlHttp *http, const char *outcome)
-{
-  const LcReplica *replica = http->desc.replica;
-
-  if (lc_log_allow (&http->shown_limit, lc_clock_now_us (), LC_CONTROL_HTTP_SHOWN_LOGS_PER_S))
-    LC_INFO ("declaration.shown", "outcome", LC_STR (outcome), "number",
-             LC_U64 (lc_replica_state (replica)->numbered.number), "term",
-             LC_U64 (replica->raft.term), "commit_index", LC_U64 (replica->raft.commit_index),
-             "leader_silent_ms", LC_I64 (lc_replica_silence_us (replica) / LC_US_PER_MS),
-             "left_out", LC_U64 (http->shown_limit.suppressed_total));
-}
-
-static void
-lc_control_http__show_unsure (LcControlHttp *http, h2o_req_t *req)
-{
-  const LcRaftMember *leader = lc_replica_leader (http->desc.replica);
-  LcError error = { 0 };
-
-  if (leader != NULL && leader->id != http->desc.replica->id)
-    {
-      lc_control_http__log_shown (http, "redirected to the leader");
-      lc_control_http__redirect (http, req, leader->ipv4);
-      return;
-    }
-  lc_control_http__log_shown (http, "refused: no lease");
-  (void)lc_error_set (&error, LC_ERR_UNAVAILABLE, "ask again in a second, or another control VM",
-                      "this control VM can't be sure which declaration is the newest");
-  lc_control_http__fail (http, req, &error);
-}
-
-/* Only the leader under its lease knows which declaration is the newest. */
-static void
-lc_control_http__show_declaration (LcControlHttp *http, h2o_req_t *req)
-{
-  LcReplica *replica = http->desc.replica;
-  const LcControlNumbered *numbered = &lc_replica_state (replica)->numbered;
-  LcError error = { 0 };
-  gsize len;
-  const char *document;
-
-  if (!lc_replica_can_read (replica))
-    {
-      lc_control_http__show_unsure (http, req);
-      return;
-    }
-  if (numbered->document == NULL)
-    {
-      (void)lc_error_set (&error, LC_ERR_NOT_FOUND, "declare one first",
-                          "there is no numbered declaration yet");
-      lc_control_http__fail (http, req, &error);
-      return;
-    }
-  lc_control_http__log_shown (http, "shown");
-  document = g_bytes_get_data (numbered->document, &len);
-  lc_http_answer (req, 200, NULL, document, len);
-}
+/* === private: calls of the platform ========================================================= */
 
 /* A VM that belongs to no cluster sends the caller on to one that does. */
 static void
