--- a/src/control/lc-control-settings.h
+++ b/src/control/lc-control-settings.h
@@ -13,6 +13,7 @@
 enum
 {
   LC_CONTROL_MEMBERS_MAX = 9,
+  LC_CONTROL_REGIONS_BYTES = 4096, /* a region for each of some hundred data centres */
 };
 
 typedef struct
@@ -23,7 +24,7 @@
   uint16_t peer_port;
   uint16_t http_port;
   uint16_t admin_port;
-  char regions[512];     /* names joined by commas, repeats allowed */
+  char regions[LC_CONTROL_REGIONS_BYTES]; /* names joined by commas, repeats allowed */
   char data_folder[256]; /* empty: no disk; this VM neither votes nor stores, it passes calls on */
   LcSocketAddress members[LC_CONTROL_MEMBERS_MAX];
   uint32_t n_members;
