--- a/src/control/lc-distributor-propose.c
+++ b/src/control/lc-distributor-propose.c
@@ -89,21 +89,32 @@
   lc_timer_hasten (&d->batch_timer, (uint32_t)(MAX (due_us - now_us, 0) / LC_US_PER_MS));
 }
 
+/* A loss is not kept: who was lost may speak again before there is a leader, and its watchers
+ * repeat it if not. */
+static bool
+lc_distributor__may_wait (const LcMemberChange *change)
+{
+  return change->kind != LC_MEMBER_ENDPOINT_LOST && change->kind != LC_MEMBER_BALANCER_LOST;
+}
+
 /* What was not taken is tried again with the next batch, for a while and up to a number. */
 static void
 lc_distributor__keep_rest (LcDistributor *d, const GArray *batch, guint from, int64_t now_us)
 {
-  const LcMemberChange *rest = &g_array_index (batch, LcMemberChange, from);
-  guint n = batch->len - from;
+  bool is_kept = lc_batch_pace_failed (&d->batch_pace, now_us);
 
-  if (!lc_batch_pace_failed (&d->batch_pace, now_us) ||
-      d->batch->len + n > LC_DISTRIBUTOR_WAITING_MAX)
+  for (guint i = from; i < batch->len; i++)
     {
-      lc_distributor__forget_batch (d, rest, n);
-      return;
+      const LcMemberChange *change = &g_array_index (batch, LcMemberChange, i);
+
+      if (is_kept && lc_distributor__may_wait (change) &&
+          d->batch->len < LC_DISTRIBUTOR_WAITING_MAX)
+        g_array_append_vals (d->batch, change, 1);
+      else
+        lc_distributor__forget_batch (d, change, 1);
     }
-  g_array_prepend_vals (d->batch, rest, n);
-  lc_distributor__arm_batch (d, now_us);
+  if (d->batch->len > 0)
+    lc_distributor__arm_batch (d, now_us);
 }
 
 static void
--- a/tests/member/test-batch.c
+++ b/tests/member/test-batch.c
@@ -166,9 +166,9 @@
 
 /* A watcher reports one endpoint. */
 static void
-report (World *w, uint32_t endpoint)
+report_as (World *w, uint32_t endpoint, LcMemberChangeKind kind)
 {
-  LcMemberChange change = { .kind = LC_MEMBER_ENDPOINT_ANNOUNCED,
+  LcMemberChange change = { .kind = kind,
                             .data_centre = "hall-atl",
                             .service = "desk",
                             .endpoint = { .instance = 7, .state = LC_ENDPOINT_JOINING } };
@@ -188,6 +188,12 @@
   lc_distributor_frame (w->distributor, NULL, &frame);
 }
 
+static void
+report (World *w, uint32_t endpoint)
+{
+  report_as (w, endpoint, LC_MEMBER_ENDPOINT_ANNOUNCED);
+}
+
 static const struct
 {
   uint32_t n_reported; /* by different watchers, each twice */
@@ -234,6 +240,27 @@
 }
 END_TEST
 
+/* A loss that nobody took is forgotten: the endpoint may have spoken again meanwhile. */
+START_TEST (test_losses_are_not_kept)
+{
+  World w;
+
+  start (&w);
+  w.n_failures = 1;
+  report_as (&w, 1, LC_MEMBER_ENDPOINT_LOST);
+  while (w.n_failures > 0)
+    (void)h2o_evloop_run (w.app.loop, 100);
+  for (int i = 0; i < 5; i++)
+    (void)h2o_evloop_run (w.app.loop, 20);
+  ck_assert_uint_eq (w.n_entries, 0);
+  report_as (&w, 1, LC_MEMBER_ENDPOINT_LOST); /* again, by its watchers */
+  while (w.n_changes < 1)
+    (void)h2o_evloop_run (w.app.loop, 100);
+  ck_assert_uint_eq (w.n_entries, 1);
+  stop (&w);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -246,6 +273,7 @@
   tcase_add_loop_test (tc, test_reports_that_come_together_are_one_entry, 0,
                        (int)G_N_ELEMENTS (REPORTS));
   tcase_add_test (tc, test_what_was_not_taken_is_proposed_again);
+  tcase_add_test (tc, test_losses_are_not_kept);
   suite_add_tcase (suite, tc);
   return lc_fake_run (suite);
 }
