--- a/src/core/lc-view-look.c
+++ b/src/core/lc-view-look.c
@@ -118,9 +118,14 @@
 
   if (homes[0] == '\0')
     return LC_REGIONS_ALL;
-  for (guint i = 0; i < MIN (view->dcs->len, (guint)LC_REGIONS_MAX); i++)
-    if (lc_homes_has (homes, g_array_index (view->dcs, LcDataCentre, i).region))
-      mask |= (LcRegionMask)1 << lc_view__region_at (view, i);
+  for (guint i = 0; i < view->dcs->len; i++)
+    {
+      uint8_t region = lc_view__region_at (view, i);
+
+      if (region < LC_REGIONS_MAX &&
+          lc_homes_has (homes, g_array_index (view->dcs, LcDataCentre, i).region))
+        mask |= (LcRegionMask)1 << region;
+    }
   return mask;
 }
 
--- a/src/core/member/lc-relays.c
+++ b/src/core/member/lc-relays.c
@@ -101,7 +101,9 @@
       if (lc_relays__counts (b, dc))
         n = lc_relays__insert (out, n, thinnest_kbps, b);
     }
-  return lc_relays__n_wanted (out, n, n_balancers, thinnest_kbps);
+  if (n < LC_RELAYS_WIDE_MIN)
+    return n;
+  return MIN (n, lc_relays__n_wanted (out, n, n_balancers, thinnest_kbps));
 }
 
 bool
