--- a/src/control/lc-distributor-propose.c
+++ b/src/control/lc-distributor-propose.c
@@ -14,8 +14,7 @@
   LC_DISTRIBUTOR_PROPOSAL_LOGS_PER_S = 30,
 };
 
-/* Fifty entries a second at most, however many members change.  After a loss of all power one entry
- * a change took 1.1 s for 995 members. */
+/* Fifty entries a second at most, however many members change. */
 static const LcBatchPaceDesc LC_DISTRIBUTOR_BATCH = {
   .first_us = LC_DISTRIBUTOR_BATCH_FIRST_MS * LC_US_PER_MS,
   .interval_us = LC_DISTRIBUTOR_BATCH_MS * LC_US_PER_MS,
--- a/src/core/flow/lc-flow-search.h
+++ b/src/core/flow/lc-flow-search.h
@@ -31,8 +31,7 @@
  *   caller then waits for its own next packet.  In a service of more than LC_FLOW_SEARCH_MEMBERS
  *   endpoints owners are found, but no flow is ever said to be nobody's.  A member that knows of an
  *   endpoint that came later (`membership`: the revision of the newest) holds a search open until
- *   that one is known here, too.  Restarts and losses of known ones hold nothing open: after a loss
- *   of all power every one of 682 endpoints began anew, and searches waited 1 s for the views.
+ *   that one is known here, too.  Restarts and losses of known ones hold nothing open.
  */
 #ifndef LC_FLOW_SEARCH_H
 #define LC_FLOW_SEARCH_H
--- a/src/core/lc-view.h
+++ b/src/core/lc-view.h
@@ -150,11 +150,10 @@
     LC_VIEW_ADDRESS = 8,
     LC_VIEW_ADDRESS_REMOVED = 9,
     LC_VIEW_ROUTE = 10,
-    LC_VIEW_ROUTE_REMOVED = 11, /* uses route.id */
-    LC_VIEW_SETTLED = 12,       /* uses settled_revision */
-    LC_VIEW_FORMER = 13,        /* in snapshots only: uses former */
-    LC_VIEW_SERVICE_MEMBERS =
-        14 /* in snapshots only: service.id and its two revisions of members */
+    LC_VIEW_ROUTE_REMOVED = 11,  /* uses route.id */
+    LC_VIEW_SETTLED = 12,        /* uses settled_revision */
+    LC_VIEW_FORMER = 13,         /* in snapshots only: uses former */
+    LC_VIEW_SERVICE_MEMBERS = 14 /* in snapshots only: service.id and the members' revisions */
   } LcViewOpKind;
 
   /* One committed change.  A tagged union: `kind` says which member counts. */
--- a/src/core/member/lc-relays.h
+++ b/src/core/member/lc-relays.h
@@ -8,11 +8,11 @@
  * and the death of one promotes one.
  *
  * WIDE LINKS
- *   After a loss of everything a relay hands on the announcements of all: 1,000 members are some
- * 90 KB for each balancer below, 1.8 MB a relay, 1.5 s of a link of 10 Mbit/s.  Where all balancers
- * of a data centre have said how wide their links are, and two are much wider than the thinnest,
- * the widest are its relays, as many as can carry equal shares: LC_RELAYS_BALANCERS for each time
- * that a relay's link is as wide as the thinnest, LC_RELAYS_TIMES_MAX times at most.
+ *   After a loss of everything a relay hands on the announcements of all members to each balancer
+ *   below: seconds of a thin link.  Where all balancers of a data centre have said how wide their
+ *   links are, and two are at least twice as wide as the thinnest, the widest are its relays, as
+ *   many as can carry equal shares: LC_RELAYS_BALANCERS for each time that a relay's link is as
+ * wide as the thinnest, LC_RELAYS_TIMES_MAX times at most.
  *
  * HOW TO USE IT
  *     n = lc_relays_list (&view, dc, relays);              0: the data centre has none, all direct
--- a/src/core/request/lc-request-agent-claim.c
+++ b/src/core/request/lc-request-agent-claim.c
@@ -44,8 +44,8 @@
 }
 
 /* Nobody can tell for so long whether the key has run: the request is refused now, with the time to
- * come back.  Held up to a deadline of 30 s, it got no answer at all where its caller left sooner
- * without having said so: 8 orders of a soak's 805.  Returns whether it was refused. */
+ * come back, rather than held up to a deadline that its caller does not wait for.  Returns whether
+ * it was refused. */
 static bool
 lc_agent__refuse_lost (LcRequestAgent *agent, LcRun *run, int64_t lost_for_us, int64_t now_us)
 {
