--- a/src/cli/lc-cli-explain.c
+++ b/src/cli/lc-cli-explain.c
@@ -39,12 +39,10 @@
 static void
 lc_cli_explain__print_time (int64_t at_us)
 {
-  GDateTime *time = g_date_time_new_from_unix_utc (at_us / LC_US_PER_S);
-  char *text = g_date_time_format (time, "%H:%M:%S");
+  char *text = lc_explain_clock (at_us);
 
-  (void)printf ("%s.%03d", text, (int)(at_us % LC_US_PER_S / LC_US_PER_MS));
+  (void)fputs (text, stdout);
   g_free (text);
-  g_date_time_unref (time);
 }
 
 static bool
--- a/src/cli/lc-explain.c
+++ b/src/cli/lc-explain.c
@@ -7,16 +7,28 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* === private: reading ======================================================================= */
+/* === public: fields of a line =============================================================== */
 
-static const char *
-lc_explain__text (const json_t *json, const char *key)
+const char *
+lc_explain_text (const json_t *json, const char *key)
 {
   const char *text = json_string_value (json_object_get (json, key));
 
   return text != NULL ? text : "";
 }
 
+char *
+lc_explain_clock (int64_t at_us)
+{
+  GDateTime *time = g_date_time_new_from_unix_utc (at_us / LC_US_PER_S);
+  char *second = g_date_time_format (time, "%H:%M:%S");
+  char *text = g_strdup_printf ("%s.%03d", second, (int)(at_us % LC_US_PER_S / LC_US_PER_MS));
+
+  g_free (second);
+  g_date_time_unref (time);
+  return text;
+}
+
 int64_t
 lc_explain_time (const char *text)
 {
@@ -35,6 +47,8 @@
   return end != text && *end == '\0' && seconds >= 0 ? (int64_t)(seconds * LC_US_PER_S) : -1;
 }
 
+/* === private: reading ======================================================================= */
+
 static void
 lc_explain__add (void *user, uint64_t number, const char *text)
 {
@@ -44,16 +58,16 @@
   LcExplainLine line = { .json = json, .at_us = -1 };
 
   if (json != NULL)
-    line.at_us = lc_explain_time (lc_explain__text (json, "time"));
+    line.at_us = lc_explain_time (lc_explain_text (json, "time"));
   if (line.at_us < 0)
     {
       log->n_skipped++;
       json_decref (json);
       return;
     }
-  line.program = lc_explain__text (json, "program");
-  line.name = lc_explain__text (json, "name");
-  line.event = lc_explain__text (json, "event");
+  line.program = lc_explain_text (json, "program");
+  line.name = lc_explain_text (json, "name");
+  line.event = lc_explain_text (json, "event");
   line.flow = json_string_value (json_object_get (json, "flow"));
   g_array_append_val (log->lines, line);
 }
--- a/src/cli/lc-explain.h
+++ b/src/cli/lc-explain.h
@@ -86,5 +86,9 @@
 void lc_explain_flows (const LcExplainLog *log, const LcExplainQuery *query, GArray *out);
 /* "2026-08-05T13:02:53.138022Z", or seconds since 1970; negative: neither. */
 int64_t lc_explain_time (const char *text);
+/* The time of day, "13:02:53.138"; to be freed. */
+char *lc_explain_clock (int64_t at_us);
+/* A field of a line; "" when it is no text or not there. */
+const char *lc_explain_text (const json_t *json, const char *key);
 
 #endif /* LC_EXPLAIN_H */
--- a/src/cli/lc-spread-write.c
+++ b/src/cli/lc-spread-write.c
@@ -1,3 +1,4 @@
+#include "lc-explain.h"
 #include "lc-spread.h"
 
 #include <jansson.h>
@@ -14,33 +15,21 @@
 }
 
 static void
-lc_spread__put_time (GString *out, int64_t at_us)
+lc_spread__put_change (const LcSpreadChange *change, GString *out)
 {
-  GDateTime *time = g_date_time_new_from_unix_utc (at_us / LC_US_PER_S);
-  char *text = g_date_time_format (time, "%H:%M:%S");
+  char *clock = lc_explain_clock (change->at_us);
 
-  g_string_append_printf (out, "%s.%03d", text, (int)(at_us % LC_US_PER_S / LC_US_PER_MS));
-  g_free (text);
-  g_date_time_unref (time);
-}
-
-static void
-lc_spread__put_change (const LcSpread *s, const LcSpreadChange *change, GString *out)
-{
-  LcSpreadTimes times[LC_SPREAD_N_ROLES];
-
-  lc_spread_times (s, change, times);
-  lc_spread__put_time (out, change->at_us);
-  g_string_append_printf (out, " %-20s %-24s", change->what, change->member);
+  g_string_append_printf (out, "%s %-20s %-24s", clock, change->what, change->member);
   for (int role = 0; role < LC_SPREAD_N_ROLES; role++)
     {
-      const LcSpreadTimes *t = &times[role];
+      const LcSpreadTimes *t = &change->times[role];
 
       lc_spread__put_ms (out, t->middle_us);
       lc_spread__put_ms (out, t->last_us);
       g_string_append_printf (out, " %5u %5u %5u ", t->n_reached, t->n_apart, t->n_missing);
     }
   g_string_append_c (out, '\n');
+  g_free (clock);
 }
 
 static void
@@ -81,17 +70,14 @@
 }
 
 static json_t *
-lc_spread__change_json (const LcSpread *s, const LcSpreadChange *change)
+lc_spread__change_json (const LcSpreadChange *change)
 {
-  LcSpreadTimes times[LC_SPREAD_N_ROLES];
-  json_t *out;
-
-  lc_spread_times (s, change, times);
-  out = json_pack ("{s:I, s:s, s:s, s:I}", "at_us", (json_int_t)change->at_us, "what", change->what,
-                   "member", change->member, "revision", (json_int_t)change->revision);
+  json_t *out =
+      json_pack ("{s:I, s:s, s:s, s:I}", "at_us", (json_int_t)change->at_us, "what", change->what,
+                 "member", change->member, "revision", (json_int_t)change->revision);
   for (int role = 0; role < LC_SPREAD_N_ROLES; role++)
     (void)json_object_set_new (out, lc_spread_role_name ((LcSpreadRole)role),
-                               lc_spread__role_json (&times[role]));
+                               lc_spread__role_json (&change->times[role]));
   return out;
 }
 
@@ -119,14 +105,12 @@
   for (guint i = 0; i < s->changes->len; i++)
     {
       const LcSpreadChange *change = &g_array_index (s->changes, LcSpreadChange, i);
-      LcSpreadTimes times[LC_SPREAD_N_ROLES];
 
       if (i == 0)
         scale.from_us = change->at_us;
       scale.span_us = MAX (scale.span_us, change->at_us - scale.from_us);
-      lc_spread_times (s, change, times);
       for (int role = 0; role < LC_SPREAD_N_ROLES; role++)
-        scale.top_us = MAX (scale.top_us, times[role].last_us);
+        scale.top_us = MAX (scale.top_us, change->times[role].last_us);
     }
   return scale;
 }
@@ -149,20 +133,15 @@
 }
 
 static void
-lc_spread__put_dots (const LcSpread *s,
-                     const LcSpreadScale *scale,
-                     const LcSpreadChange *change,
-                     GString *out)
+lc_spread__put_dots (const LcSpreadScale *scale, const LcSpreadChange *change, GString *out)
 {
   static const char *const COLOURS[] = { "#1f77b4", "#d95f02" };
-  LcSpreadTimes times[LC_SPREAD_N_ROLES];
 
-  lc_spread_times (s, change, times);
   for (int role = 0; role < LC_SPREAD_N_ROLES; role++)
-    if (times[role].n_reached > 0)
+    if (change->times[role].n_reached > 0)
       g_string_append_printf (
           out, "<circle cx=\"%.1f\" cy=\"%.1f\" r=\"2.5\" fill=\"%s\"><title>%s</title></circle>\n",
-          lc_spread__x (scale, change->at_us), lc_spread__y (scale, times[role].last_us),
+          lc_spread__x (scale, change->at_us), lc_spread__y (scale, change->times[role].last_us),
           COLOURS[role], change->what);
 }
 
@@ -195,7 +174,7 @@
                         "time         what                 member                     balancers: "
                         "middle, last, had, apart, never; agents: the same\n");
   for (guint i = 0; i < s->changes->len; i++)
-    lc_spread__put_change (s, &g_array_index (s->changes, LcSpreadChange, i), out);
+    lc_spread__put_change (&g_array_index (s->changes, LcSpreadChange, i), out);
   g_string_append (out, "\nkind                      n  last balancer: middle, worst; last agent: "
                         "middle, worst\n");
   for (guint i = 0; i < kinds->len; i++)
@@ -216,7 +195,7 @@
 
   for (guint i = 0; i < s->changes->len; i++)
     (void)json_array_append_new (
-        changes, lc_spread__change_json (s, &g_array_index (s->changes, LcSpreadChange, i)));
+        changes, lc_spread__change_json (&g_array_index (s->changes, LcSpreadChange, i)));
   for (guint i = 0; i < s->bad->len; i++)
     (void)json_array_append_new (bad, json_string (g_ptr_array_index (s->bad, i)));
   root =
@@ -241,6 +220,6 @@
                           LC_SPREAD_SVG_WIDTH, LC_SPREAD_SVG_HEIGHT);
   lc_spread__put_axes (&scale, out);
   for (guint i = 0; i < s->changes->len; i++)
-    lc_spread__put_dots (s, &scale, &g_array_index (s->changes, LcSpreadChange, i), out);
+    lc_spread__put_dots (&scale, &g_array_index (s->changes, LcSpreadChange, i), out);
   g_string_append (out, "</svg>\n");
 }
--- a/src/cli/lc-spread.c
+++ b/src/cli/lc-spread.c
@@ -88,22 +88,14 @@
   return value > 0 ? (uint64_t)value : 0;
 }
 
-static const char *
-lc_spread__text (const json_t *line, const char *field)
-{
-  const char *text = json_string_value (json_object_get (line, field));
-
-  return text != NULL ? text : "";
-}
-
 static void
 lc_spread__note_proposed (LcSpread *s, const json_t *line, int64_t at_us)
 {
   LcSpreadChange change = { .at_us = at_us, .revision = lc_spread__number (line, "revision") + 1 };
   char key[3 * LC_NAME_MAX];
 
-  (void)g_strlcpy (change.what, lc_spread__text (line, "what"), sizeof change.what);
-  (void)g_strlcpy (change.member, lc_spread__text (line, "member"), sizeof change.member);
+  (void)g_strlcpy (change.what, lc_explain_text (line, "what"), sizeof change.what);
+  (void)g_strlcpy (change.member, lc_explain_text (line, "member"), sizeof change.member);
   (void)g_snprintf (key, sizeof key, "%s %s %" G_GUINT64_FORMAT, change.what, change.member,
                     (guint64)lc_spread__number (line, "instance"));
   lc_spread__add_change (s, &change, key);
@@ -148,7 +140,8 @@
   return true;
 }
 
-/* Parsing every line would take five times as long.  Returns whether it has the headers. */
+/* Without parsing the whole line, since most lines are of this kind.  Returns whether it has the
+ * headers. */
 static bool
 lc_spread__take_header (LcSpread *s, const char *text)
 {
@@ -184,9 +177,9 @@
 static void
 lc_spread__take (LcSpread *s, const json_t *line, int64_t at_us)
 {
-  const char *event = lc_spread__text (line, "event");
+  const char *event = lc_explain_text (line, "event");
   LcSpreadProcess *p =
-      lc_spread__process (s, lc_spread__text (line, "program"), lc_spread__text (line, "name"));
+      lc_spread__process (s, lc_explain_text (line, "program"), lc_explain_text (line, "name"));
 
   if (strcmp (event, "member.proposed") == 0)
     lc_spread__note_proposed (s, line, at_us);
@@ -239,7 +232,7 @@
     }
   line = json_loads (brace, JSON_DISABLE_EOF_CHECK, NULL);
   if (line != NULL)
-    at_us = lc_explain_time (lc_spread__text (line, "time"));
+    at_us = lc_explain_time (lc_explain_text (line, "time"));
   if (at_us < 0)
     lc_spread__bad (s, path, number, line == NULL ? "no JSON object" : "no time");
   else
@@ -295,20 +288,7 @@
   return (x->at_us > y->at_us) - (x->at_us < y->at_us);
 }
 
-void
-lc_spread_finish_reading (LcSpread *s)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, s->processes);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    g_array_sort (((LcSpreadProcess *)value)->points, lc_spread__compare_points);
-  g_array_sort (s->changes, lc_spread__compare_changes);
-  g_hash_table_remove_all (s->seen); /* the places have changed */
-}
-
-/* === public: times ========================================================================== */
+/* === private: times ========================================================================= */
 
 typedef enum
 {
@@ -383,16 +363,14 @@
   return times->len > 0 ? g_array_index (times, int64_t, times->len - 1) : -1;
 }
 
-void
-lc_spread_times (const LcSpread *s,
-                 const LcSpreadChange *change,
-                 LcSpreadTimes times[LC_SPREAD_N_ROLES])
+static void
+lc_spread__find_times (const LcSpread *s, LcSpreadChange *change)
 {
+  LcSpreadTimes *times = change->times;
   GArray *reached[LC_SPREAD_N_ROLES];
   GHashTableIter iter;
   gpointer value;
 
-  memset (times, 0, LC_SPREAD_N_ROLES * sizeof *times);
   for (int role = 0; role < LC_SPREAD_N_ROLES; role++)
     reached[role] = g_array_new (FALSE, FALSE, sizeof (int64_t));
   g_hash_table_iter_init (&iter, s->processes);
@@ -423,6 +401,23 @@
     }
 }
 
+/* === public: the end of reading ============================================================= */
+
+void
+lc_spread_finish_reading (LcSpread *s)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, s->processes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_array_sort (((LcSpreadProcess *)value)->points, lc_spread__compare_points);
+  g_array_sort (s->changes, lc_spread__compare_changes);
+  g_hash_table_remove_all (s->seen); /* the places have changed */
+  for (guint i = 0; i < s->changes->len; i++)
+    lc_spread__find_times (s, &g_array_index (s->changes, LcSpreadChange, i));
+}
+
 const char *
 lc_spread_role_name (LcSpreadRole role)
 {
@@ -460,14 +455,12 @@
   for (guint i = 0; i < s->changes->len; i++)
     {
       const LcSpreadChange *change = &g_array_index (s->changes, LcSpreadChange, i);
-      LcSpreadTimes times[LC_SPREAD_N_ROLES];
 
       if (strcmp (change->what, kind->what) != 0)
         continue;
-      lc_spread_times (s, change, times);
       for (int role = 0; role < LC_SPREAD_N_ROLES; role++)
-        if (times[role].n_reached > 0)
-          g_array_append_val (last[role], times[role].last_us);
+        if (change->times[role].n_reached > 0)
+          g_array_append_val (last[role], change->times[role].last_us);
     }
   for (int role = 0; role < LC_SPREAD_N_ROLES; role++)
     {
--- a/src/cli/lc-spread.h
+++ b/src/cli/lc-spread.h
@@ -16,7 +16,7 @@
  *     lc_spread_read (&spread, "balancer.log", &error);      for each file, in any order
  *     lc_spread_finish_reading (&spread);
  *     for (guint i = 0; i < spread.changes->len; i++)
- *       lc_spread_times (&spread, &g_array_index (spread.changes, LcSpreadChange, i), times);
+ *       g_array_index (spread.changes, LcSpreadChange, i).times[LC_SPREAD_AGENT].last_us
  *     lc_spread_finish (&spread);
  *
  * LIMITS
@@ -64,14 +64,6 @@
   int64_t last_us;
 } LcSpreadProcess;
 
-typedef struct
-{
-  char what[LC_NAME_MAX];   /* "endpoint-lost", "declaration" and so on */
-  char member[LC_NAME_MAX]; /* or the declaration's number */
-  int64_t at_us;            /* when control proposed it first, or told that it is in force */
-  uint64_t revision;        /* the first view that has it */
-} LcSpreadChange;
-
 /* Of the processes of one role. */
 typedef struct
 {
@@ -82,6 +74,15 @@
   int64_t last_us;
 } LcSpreadTimes;
 
+typedef struct
+{
+  char what[LC_NAME_MAX];   /* "endpoint-lost", "declaration" and so on */
+  char member[LC_NAME_MAX]; /* or the declaration's number */
+  int64_t at_us;            /* when control proposed it first, or told that it is in force */
+  uint64_t revision;        /* the first view that has it */
+  LcSpreadTimes times[LC_SPREAD_N_ROLES]; /* once all is read */
+} LcSpreadChange;
+
 typedef struct
 {
   GHashTable *processes; /* "program name" -> LcSpreadProcess, owned */
@@ -98,10 +99,8 @@
 void lc_spread_finish (LcSpread *spread);
 /* "-" reads standard input. */
 int lc_spread_read (LcSpread *spread, const char *path, LcError *error);
+/* Finds the times of each change; nothing more is read then. */
 void lc_spread_finish_reading (LcSpread *spread);
-void lc_spread_times (const LcSpread *spread,
-                      const LcSpreadChange *change,
-                      LcSpreadTimes times[LC_SPREAD_N_ROLES]);
 const char *lc_spread_role_name (LcSpreadRole role);
 
 /* Of all changes of one kind: how many, and of their last machines the middle and the worst. */
--- a/tests/platform/test-spread.c
+++ b/tests/platform/test-spread.c
@@ -82,11 +82,10 @@
   for (guint i = 0; i < s.changes->len; i++)
     {
       const LcSpreadChange *change = &g_array_index (s.changes, LcSpreadChange, i);
-      LcSpreadTimes times[LC_SPREAD_N_ROLES];
+      const LcSpreadTimes *times = change->times;
 
       ck_assert_str_eq (change->what, CHANGES[i].what);
       ck_assert_str_eq (change->member, CHANGES[i].member);
-      lc_spread_times (&s, change, times);
       for (int role = 0; role < LC_SPREAD_N_ROLES; role++)
         {
           const LcSpreadTimes *wanted = &CHANGES[i].times[role];
