--- a/src/control/lc-distributor-propose.c
+++ b/src/control/lc-distributor-propose.c
@@ -52,15 +52,12 @@
 
 /* What could not be taken is not on its way: it may be proposed again at once. */
 static void
-lc_distributor__forget_batch (LcDistributor *d, const LcMemberChange *changes, uint32_t n)
+lc_distributor__forget (LcDistributor *d, const LcMemberChange *change)
 {
-  for (uint32_t i = 0; i < n; i++)
-    {
-      char *key = lc_distributor__key (&changes[i]);
+  char *key = lc_distributor__key (change);
 
-      (void)g_hash_table_remove (d->pending, key);
-      g_free (key);
-    }
+  (void)g_hash_table_remove (d->pending, key);
+  g_free (key);
 }
 
 /* Hands on the batch up to the first part that is not taken; returns how many changes were. */
@@ -110,7 +107,7 @@
           d->batch->len < LC_DISTRIBUTOR_WAITING_MAX)
         g_array_append_vals (d->batch, change, 1);
       else
-        lc_distributor__forget_batch (d, change, 1);
+        lc_distributor__forget (d, change);
     }
   if (d->batch->len > 0)
     lc_distributor__arm_batch (d, now_us);
