--- a/bench/lc-control-disk.c
+++ b/bench/lc-control-disk.c
@@ -1,6 +1,6 @@
 #include "lc-control-disk.h"
 
-#include "control/lc-disk-posix.h"
+#include "io/lc-disk-posix.h"
 #include "control/lc-store-task.h"
 #include "core/control/lc-raft.h"
 #include "io/lc-clock.h"
--- a/src/control/lc-replica.h
+++ b/src/control/lc-replica.h
@@ -42,7 +42,7 @@
 #include "core/control/lc-raft.h"
 #include "io/lc-app.h"
 #include "lc-control-settings.h"
-#include "lc-disk-posix.h"
+#include "io/lc-disk-posix.h"
 #include "lc-store-task.h"
 
 enum
--- a/src/core/control/lc-disk.h
+++ b/src/core/control/lc-disk.h
@@ -1,7 +1,7 @@
-/* lc-disk: the one way in which control touches its data folder.
+/* lc-disk: the one way in which a process touches its data folder.
  *
  * WHAT IT IS
- *   A flat folder of files.  src/control/lc-disk-posix.c is the real one; tests bring a fake that
+ *   A flat folder of files.  src/io/lc-disk-posix.c is the real one; tests bring a fake that
  *   drops unsynced writes, tears and reorders them, runs full and flips bits.
  *
  * RULES
--- a/src/control/lc-disk-posix.c
+++ b/src/io/lc-disk-posix.c
@@ -29,8 +29,7 @@
   if (saved == ENOENT)
     return lc_error_set (error, LC_ERR_NOT_FOUND, "look at the data folder", "%s of %s: %s", call,
                          name, g_strerror (saved));
-  return lc_error_set (error, LC_ERR_IO,
-                       "look at the disk's health; if it is bad, replace this control VM",
+  return lc_error_set (error, LC_ERR_IO, "look at the disk's health; if it is bad, replace this VM",
                        "%s of %s: %s", call, name, g_strerror (saved));
 }
 
