--- a/bench/lc-lychee-act.c
+++ b/bench/lc-lychee-act.c
@@ -144,6 +144,7 @@
         case LC_AGENT_READ:
           lc_lychee__send_read (l, p, &action);
           break;
+        case LC_AGENT_HELD_UP:
         case LC_AGENT_KEEP:
           break; /* no agent of the bench resumes */
         }
--- a/src/agent/lc-agent-claims.c
+++ b/src/agent/lc-agent-claims.c
@@ -119,6 +119,13 @@
   answer.home_instance = plane->desc.instance;
   answer.holder_id = hold.owner.id;
   answer.holder_instance = hold.owner.instance;
+  if (answer.result != LC_CLAIM_GRANTED)
+    lc_request_log (&plane->log,
+                    &(LcRequestLogLine){ .kind = LC_REQUEST_LOG_CLAIM,
+                                         .key = key,
+                                         .why = lc_claim_result_name ((LcClaimResult)answer.result),
+                                         .member = { claim->owner_id, claim->owner_instance } },
+                    lc_clock_now_us ());
   if (answer.result == LC_CLAIM_NOT_READY)
     answer.lost_for_us =
         (uint64_t)lc_claim_era_lost_for_us (&plane->core.era, key, lc_clock_now_us ());
--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -474,6 +474,7 @@
 
   memset (plane, 0, sizeof *plane);
   plane->desc = *desc;
+  plane->log.is_shared = desc->settings->has_requests;
   plane->backend = desc->settings->report_port == 0 ? LC_FLOW_BACKEND_OPEN : LC_FLOW_BACKEND_NONE;
   r = lc_agent_flow__open (plane, error);
   if (r < 0)
--- a/src/agent/lc-agent-request-private.h
+++ b/src/agent/lc-agent-request-private.h
@@ -29,6 +29,7 @@
   uint64_t run_id;
   LcPartial *payload;
   int64_t deadline_us;
+  int64_t started_us; /* when it was given to the backend server */
   LcBackendCall *call;
 } LcAgentCall;
 
--- a/src/agent/lc-agent-request.c
+++ b/src/agent/lc-agent-request.c
@@ -13,6 +13,85 @@
   g_free (call);
 }
 
+/* === private: log =========================================================================== */
+
+static void
+lc_agent_request__log_call (LcAgentRequest *plane,
+                            LcRequestLogKind kind,
+                            const LcAgentCall *call,
+                            LcRequestLogLine line,
+                            int64_t now_us)
+{
+  line.kind = kind;
+  line.id = call->payload->ask.id;
+  line.key = (LcRequestKey){ call->payload->head->key_hi, call->payload->head->key_lo };
+  line.attempt = call->payload->ask.attempt;
+  line.left_us = call->deadline_us - now_us;
+  lc_request_log (&plane->log, &line, now_us);
+}
+
+static const char *
+lc_agent_request__end_name (LcRunEnd how)
+{
+  switch (how)
+    {
+    case LC_RUN_OK:
+      return NULL;
+    case LC_RUN_SHED:
+      return "shed";
+    case LC_RUN_NOT_SENT:
+      return "not-sent";
+    case LC_RUN_BROKEN:
+      return "broken";
+    case LC_RUN_CANCELLED:
+      return "cancelled";
+    }
+  return "unknown";
+}
+
+static void
+lc_agent_request__log_end (LcAgentRequest *plane, const LcAgentCall *call, const char *why)
+{
+  int64_t now_us = lc_clock_now_us ();
+
+  lc_agent_request__log_call (
+      plane, LC_REQUEST_LOG_ENDED, call,
+      (LcRequestLogLine){ .why = why, .took_us = now_us - call->started_us }, now_us);
+}
+
+/* A copy that brings no run of its own and is told nothing yet. */
+static void
+lc_agent_request__log_joined (LcAgentRequest *plane,
+                              const LcAgentAttempt *attempt,
+                              uint64_t duplicates_before,
+                              int64_t now_us)
+{
+  LcRequestLogLine line = { .kind = LC_REQUEST_LOG_JOINED,
+                            .id = attempt->ask.id,
+                            .key = attempt->key,
+                            .attempt = attempt->ask.attempt };
+
+  if (plane->core.stats.duplicates_total != duplicates_before)
+    line.why = "seen-before";
+  lc_request_log (&plane->log, &line, now_us);
+}
+
+static void
+lc_agent_request__log_held_up (LcAgentRequest *plane, const LcAgentAction *action, int64_t now_us)
+{
+  LcRequestLogLine line = { .kind = LC_REQUEST_LOG_HELD_UP,
+                            .id = action->held_up.ask.id,
+                            .key = action->held_up.key,
+                            .attempt = action->held_up.ask.attempt,
+                            .why = lc_claim_result_name (action->held_up.why),
+                            .member = action->held_up.home,
+                            .left_us = action->held_up.deadline_us - now_us };
+
+  lc_request_log (&plane->log, &line, now_us);
+}
+
+/* === private: the end of calls ============================================================== */
+
 static void
 lc_agent_request__on_end (void *user, LcRunEnd how, LcAnswer *answer)
 {
@@ -20,6 +99,7 @@
   LcAgentRequest *plane = call->plane;
 
   call->call = NULL;
+  lc_agent_request__log_end (plane, call, lc_agent_request__end_name (how));
   lc_request_agent_ended (&plane->core, call->run_id, how, answer, lc_clock_now_us ());
   lc_answer_unref (answer);
   lc_agent_request__act (plane);
@@ -41,6 +121,8 @@
     }
   method = call->payload->head->method;
   is_head = method.len == 4 && memcmp (method.data, "HEAD", 4) == 0;
+  call->started_us = now_us;
+  lc_agent_request__log_call (plane, LC_REQUEST_LOG_STARTED, call, (LcRequestLogLine){ 0 }, now_us);
   request = lc_partial_request (call->payload, call->deadline_us - now_us);
   made = lc_backend_call_new (&plane->backend, request, is_head, lc_agent_request__on_end, call);
   call = g_hash_table_lookup (plane->runs, &run_id);
@@ -48,6 +130,16 @@
     call->call = made;
 }
 
+static void
+lc_agent_request__stop (LcAgentRequest *plane, uint64_t run_id)
+{
+  const LcAgentCall *call = g_hash_table_lookup (plane->runs, &run_id);
+
+  if (call != NULL)
+    lc_agent_request__log_end (plane, call, "stopped");
+  g_hash_table_remove (plane->runs, &run_id);
+}
+
 static void
 lc_agent_request__act_one (LcAgentRequest *plane, const LcAgentAction *action, int64_t now_us)
 {
@@ -57,6 +149,8 @@
       lc_agent_request__start (plane, action->run_id, now_us);
       break;
     case LC_AGENT_STOP:
+      lc_agent_request__stop (plane, action->run_id);
+      break;
     case LC_AGENT_FORGET:
       g_hash_table_remove (plane->runs, &action->run_id);
       break;
@@ -75,6 +169,9 @@
     case LC_AGENT_READ:
       lc_agent_request__send_read (plane, action, now_us);
       break;
+    case LC_AGENT_HELD_UP:
+      lc_agent_request__log_held_up (plane, action, now_us);
+      break;
     case LC_AGENT_KEEP:
       lc_agent_request__keep_claim (plane, &action->keep);
       break;
@@ -117,6 +214,8 @@
 lc_agent_request__decide (LcAgentRequest *plane, LcPartial *partial, int64_t now_us)
 {
   LcAgentAttempt attempt = lc_partial_attempt (partial, now_us);
+  uint64_t duplicates = plane->core.stats.duplicates_total;
+  guint n_actions = plane->core.actions->len;
   LcAgentCall *call;
   uint64_t run_id;
 
@@ -129,6 +228,8 @@
   run_id = lc_request_agent_attempt (&plane->core, &attempt, now_us);
   if (run_id == 0)
     {
+      if (plane->core.actions->len == n_actions)
+        lc_agent_request__log_joined (plane, &attempt, duplicates, now_us);
       lc_partial_free (partial);
       return;
     }
--- a/src/agent/lc-agent-request.h
+++ b/src/agent/lc-agent-request.h
@@ -18,6 +18,7 @@
 #include "core/request/lc-request-agent.h"
 #include "io/lc-disk-posix.h"
 #include "io/lc-peer-pool.h"
+#include "io/lc-request-log.h"
 #include "lc-agent-settings.h"
 #include "lc-backend-client.h"
 #include "lc-claim-file.h"
@@ -54,6 +55,7 @@
   uint64_t shown[LC_AGENT_REQUEST_METRICS];
   uint64_t malformed_total;
   LcLogLimit log_limit;
+  LcRequestLog log;
   bool is_busy; /* actions are being carried out */
 } LcAgentRequest;
 
--- a/src/agent/lc-agent-send.c
+++ b/src/agent/lc-agent-send.c
@@ -77,8 +77,15 @@
 lc_agent_request__send_refuse (LcAgentRequest *plane, const LcAgentAction *action)
 {
   Lc__Request__Refuse message = LC__REQUEST__REFUSE__INIT;
+  LcRequestLogLine line = { .kind = LC_REQUEST_LOG_REJECTED,
+                            .id = action->refuse.ask.id,
+                            .attempt = action->refuse.ask.attempt,
+                            .why = lc_refuse_name (action->refuse.reason),
+                            .member = action->refuse.owner,
+                            .retry_after_us = action->refuse.retry_after_us };
   Lc__Request__Load load;
 
+  lc_request_log (&plane->log, &line, lc_clock_now_us ());
   lc_agent_request__fill_load (plane, &load);
   message.id_hi = action->refuse.ask.id.hi;
   message.id_lo = action->refuse.ask.id.lo;
@@ -147,6 +154,13 @@
   size_t len = g_bytes_get_size (action->answer.answer->body);
   int r;
 
+  if (action->answer.is_replayed)
+    lc_request_log (&plane->log,
+                    &(LcRequestLogLine){ .kind = LC_REQUEST_LOG_REPLAYED,
+                                         .id = ask->id,
+                                         .attempt = ask->attempt,
+                                         .status = action->answer.answer->status },
+                    lc_clock_now_us ());
   if (link == NULL)
     return;
   r = lc_agent_request__send_head (plane, link, action);
--- a/src/balancer/lc-balancer-agents.c
+++ b/src/balancer/lc-balancer-agents.c
@@ -144,6 +144,16 @@
   refusal = (LcRefusal){ .reason = (LcRefuseReason)refuse->reason,
                          .is_checked = refuse->checked,
                          .owner = { refuse->owner_id, refuse->owner_instance } };
+  lc_request_log (&plane->log,
+                  &(LcRequestLogLine){ .kind = LC_REQUEST_LOG_REFUSED,
+                                       .id = ref.id,
+                                       .attempt = ref.number,
+                                       .why = lc_refuse_name (refusal.reason),
+                                       .to = { peer->ipv4, peer->port },
+                                       .member = refusal.owner,
+                                       .retry_after_us = (int64_t)MIN (refuse->retry_after_us,
+                                                                       (uint64_t)INT32_MAX) },
+                  lc_clock_now_us ());
   lc_request_balancer_refused (&plane->core, &ref, &refusal,
                                (int64_t)MIN (refuse->retry_after_us, (uint64_t)INT32_MAX),
                                lc_clock_now_us ());
--- a/src/balancer/lc-balancer-flow.c
+++ b/src/balancer/lc-balancer-flow.c
@@ -268,6 +268,7 @@
 
   memset (plane, 0, sizeof *plane);
   plane->desc = *desc;
+  plane->log.is_shared = desc->settings->http_port != 0;
   lc_flow_balancer_init (&plane->balancer, 0);
   lc_reach_init (&plane->reach);
   lc_flow_balancer_set_returning (&plane->balancer,
--- a/src/balancer/lc-balancer-request.c
+++ b/src/balancer/lc-balancer-request.c
@@ -8,6 +8,27 @@
   return g_hash_table_lookup (plane->calls, &flight_id);
 }
 
+/* `line` brings what is said besides the request's own ids. */
+static void
+lc_balancer_request__log (LcBalancerRequest *plane,
+                          LcRequestLogKind kind,
+                          const LcFilterRequest *request,
+                          LcRequestLogLine line)
+{
+  int64_t now_us = lc_clock_now_us ();
+
+  line.kind = kind;
+  line.id = request->id;
+  line.key = request->key;
+  if (line.attempt <= 1 && request->key_text.len > 0)
+    {
+      line.caller_key = request->key_text.base;
+      line.caller_key_len = request->key_text.len;
+    }
+  line.took_us = now_us - request->now_us;
+  lc_request_log (&plane->log, &line, now_us);
+}
+
 /* h2o disposes of the request: answered, or its connection is gone. */
 static void
 lc_balancer_request__on_dispose (void *data)
@@ -18,6 +39,7 @@
   plane->n_calls--;
   if (call->flight_id == 0)
     return;
+  lc_balancer_request__log (plane, LC_REQUEST_LOG_LEFT, &call->request, (LcRequestLogLine){ 0 });
   g_hash_table_remove (plane->calls, &call->flight_id);
   lc_request_balancer_gone (&plane->core, call->flight_id, lc_clock_now_us ());
   call->flight_id = 0;
@@ -63,9 +85,13 @@
 {
   LcBalancerCall *call = lc_balancer_request__close_call (plane, flight_id, NULL);
 
-  if (call != NULL)
-    lc_caller_answer (call->req, &call->request, incoming->head, incoming->body->data,
-                      incoming->body->len);
+  if (call == NULL)
+    return;
+  lc_balancer_request__log (
+      plane, LC_REQUEST_LOG_ANSWERED, &call->request,
+      (LcRequestLogLine){ .attempt = incoming->ref.number, .status = incoming->head->status });
+  lc_caller_answer (call->req, &call->request, incoming->head, incoming->body->data,
+                    incoming->body->len);
 }
 
 static bool
@@ -107,6 +133,11 @@
                                   lc_clock_now_us ());
       return;
     }
+  lc_balancer_request__log (plane, LC_REQUEST_LOG_SENT, &call->request,
+                            (LcRequestLogLine){ .attempt = action->send.number,
+                                                .service = call->request.service->name,
+                                                .to = { action->send.ipv4, action->send.peer_port },
+                                                .left_us = action->send.left_us });
   lc_request_balancer_sent (&plane->core, action->flight_id, action->send.number, peer->link_id);
   /* A link that can't take it all is closed, so the agent never sees a part as the whole. */
   if (lc_caller_send_attempt (link, call->req, &call->request, action) < 0)
@@ -141,8 +172,13 @@
   LcBalancerCall *call =
       lc_balancer_request__close_call (plane, action->flight_id, &action->fail.outcome);
 
-  if (call != NULL)
-    lc_caller_fail (call->req, &call->request, action);
+  if (call == NULL)
+    return;
+  lc_balancer_request__log (plane, LC_REQUEST_LOG_FAILED, &call->request,
+                            (LcRequestLogLine){ .why = lc_refuse_name (action->fail.reason),
+                                                .outcome = lc_outcome_name (action->fail.outcome),
+                                                .retry_after_us = action->fail.retry_after_us });
+  lc_caller_fail (call->req, &call->request, action);
 }
 
 static void
@@ -196,6 +232,11 @@
   call->flight_id = lc_request_balancer_start (&plane->core, &call->request, &verdict);
   if (call->flight_id == 0)
     {
+      lc_balancer_request__log (plane, LC_REQUEST_LOG_FAILED, &call->request,
+                                (LcRequestLogLine){ .why = verdict.reason != LC_REFUSE_NONE
+                                                               ? lc_refuse_name (verdict.reason)
+                                                               : verdict.message,
+                                                    .status = verdict.status });
       lc_caller_refuse (req, &call->request, &verdict);
       return 0;
     }
@@ -220,6 +261,8 @@
 
       if (!lc_caller_is_gone (call->req))
         continue;
+      lc_balancer_request__log (plane, LC_REQUEST_LOG_LEFT, &call->request,
+                                (LcRequestLogLine){ 0 });
       g_hash_table_remove (plane->calls, &flight_id);
       call->flight_id = 0;
       lc_request_balancer_gone (&plane->core, flight_id, lc_clock_now_us ());
--- a/src/balancer/lc-balancer-request.h
+++ b/src/balancer/lc-balancer-request.h
@@ -17,6 +17,7 @@
 
 #include "controller/lc-member.h"
 #include "core/request/lc-request-balancer.h"
+#include "io/lc-request-log.h"
 #include "lc-balancer-settings.h"
 
 typedef struct
@@ -51,6 +52,7 @@
   LcMetric *latency;
   uint64_t malformed_total;
   LcLogLimit log_limit;
+  LcRequestLog log;
   bool is_busy; /* actions are being carried out */
   bool is_draining;
 } LcBalancerRequest;
--- a/src/cli/lc-cli-explain.c
+++ b/src/cli/lc-cli-explain.c
@@ -19,6 +19,7 @@
 typedef struct
 {
   struct arg_str *flow;
+  struct arg_str *request;
   struct arg_str *service;
   struct arg_str *caller;
   struct arg_str *vm;
@@ -48,7 +49,8 @@
 static bool
 lc_cli_explain__is_header (const char *key)
 {
-  static const char *const HEADERS[] = { "time", "level", "program", "name", "event", "flow" };
+  static const char *const HEADERS[] = { "time",  "level", "program", "name",
+                                         "event", "flow",  "request" };
 
   for (size_t i = 0; i < G_N_ELEMENTS (HEADERS); i++)
     if (strcmp (key, HEADERS[i]) == 0)
@@ -56,6 +58,13 @@
   return false;
 }
 
+/* What lines about the flow or request itself begin with. */
+static char
+lc_cli_explain__mark (const LcExplainLine *line)
+{
+  return line->flow != NULL || line->request != NULL || line->key != NULL ? '*' : ' ';
+}
+
 static void
 lc_cli_explain__print_line (const LcExplainLine *line, bool is_json)
 {
@@ -69,7 +78,7 @@
       return;
     }
   lc_cli_explain__print_time (line->at_us);
-  (void)printf (" %c %-28s %-16s %s", line->flow != NULL ? '*' : ' ', line->name, line->program,
+  (void)printf (" %c %-28s %-16s %s", lc_cli_explain__mark (line), line->name, line->program,
                 line->event);
   json_object_foreach (line->json, key, value)
   {
@@ -99,13 +108,15 @@
 }
 
 static int
-lc_cli_explain__flow (const LcExplainLog *log, const LcCliExplain *args)
+lc_cli_explain__one (const LcExplainLog *log, const LcCliExplain *args)
 {
   int64_t around_us =
       (int64_t)(args->around_ms->count > 0 ? args->around_ms->ival[0] : LC_CLI_EXPLAIN_AROUND_MS) *
       LC_US_PER_MS;
   GPtrArray *lines = g_ptr_array_new ();
-  uint32_t n = lc_explain_flow (log, args->flow->sval[0], around_us, lines);
+  uint32_t n = args->flow->count > 0
+                   ? lc_explain_flow (log, args->flow->sval[0], around_us, lines)
+                   : lc_explain_request (log, args->request->sval[0], around_us, lines);
 
   for (guint i = 0; i < lines->len; i++)
     lc_cli_explain__print_line (g_ptr_array_index (lines, i), args->json->count > 0);
@@ -241,8 +252,9 @@
   query.service = args->service->count > 0 ? args->service->sval[0] : NULL;
   query.vm = args->vm->count > 0 ? args->vm->sval[0] : NULL;
   query.caller = args->caller->count > 0 ? args->caller->sval[0] : NULL;
-  return args->flow->count > 0 ? lc_cli_explain__flow (log, args)
-                               : lc_cli_explain__flows (log, args, &query);
+  return args->flow->count > 0 || args->request->count > 0
+             ? lc_cli_explain__one (log, args)
+             : lc_cli_explain__flows (log, args, &query);
 }
 
 static int
@@ -257,8 +269,9 @@
       (void)printf ("Usage: lychee explain");
       arg_print_syntax (stdout, table, "\n");
       (void)printf (
-          "Joins the log lines of several processes about one flow, in time order; without "
-          "--flow, lists the flows that fit.  With --spread, tells how long each change of "
+          "Joins the log lines of several processes about one flow or request, in time order; "
+          "without --flow and --request, lists the flows that fit.  With --spread, tells how long "
+          "each change of "
           "members or declaration took to the middle and the last machine of each role.\n");
       arg_print_glossary (stdout, table, "  %-28s %s\n");
       return LC_CLI_DONE;
@@ -285,6 +298,8 @@
 
   args.flow =
       arg_str0 (NULL, "flow", "CALLER:P>SERVICE:P", "the flow's id, as the log lines have it");
+  args.request = arg_str0 (NULL, "request", "ID",
+                           "a Lychee-Request-Id or an Idempotency-Key: all copies of the request");
   args.service = arg_str0 (NULL, "service", "A:P", "list flows to this address");
   args.caller = arg_str0 (NULL, "caller", "A[:P]", "list flows of this caller");
   args.vm = arg_str0 (NULL, "vm", "NAME", "list flows that this VM wrote of");
@@ -302,9 +317,9 @@
       arg_filen (NULL, NULL, "FILE", 1, LC_CLI_EXPLAIN_FILES_MAX, "logs; - is standard input");
   args.end = arg_end (LC_CLI_EXPLAIN_ERRORS_MAX);
   {
-    void *table[] = { args.flow,  args.service, args.caller, args.vm,  args.since,
-                      args.until, args.bad,     args.spread, args.svg, args.around_ms,
-                      args.json,  args.help,    args.files,  args.end };
+    void *table[] = { args.flow,      args.request, args.service, args.caller, args.vm,
+                      args.since,     args.until,   args.bad,     args.spread, args.svg,
+                      args.around_ms, args.json,    args.help,    args.files,  args.end };
 
     code = lc_cli_explain__run (argc, argv, &args, table);
     arg_freetable (table, G_N_ELEMENTS (table));
--- a/src/cli/lc-explain.c
+++ b/src/cli/lc-explain.c
@@ -69,6 +69,8 @@
   line.name = lc_explain_text (json, "name");
   line.event = lc_explain_text (json, "event");
   line.flow = json_string_value (json_object_get (json, "flow"));
+  line.request = json_string_value (json_object_get (json, "request"));
+  line.key = json_string_value (json_object_get (json, "key"));
   g_array_append_val (log->lines, line);
 }
 
@@ -139,7 +141,7 @@
   g_array_sort (log->lines, lc_explain__compare_lines); /* g_array_sort is stable */
 }
 
-/* === public: one flow ======================================================================= */
+/* === private: one flow or request =========================================================== */
 
 typedef struct
 {
@@ -149,6 +151,33 @@
   GHashTable *processes; /* "program name" of those that speak of it */
 } LcExplainSpan;
 
+/* What a question is about: lines that name one of `names` in the field that it is for. */
+typedef struct
+{
+  const char *flow;  /* NULL: a request is asked for */
+  GHashTable *names; /* ids of copies and of keys, and callers' keys */
+} LcExplainSubject;
+
+static bool
+lc_explain__is_named (const LcExplainSubject *subject, const char *name)
+{
+  return name != NULL && g_hash_table_contains (subject->names, name);
+}
+
+static bool
+lc_explain__is_about (const LcExplainLine *line, const LcExplainSubject *subject)
+{
+  if (subject->flow != NULL)
+    return line->flow != NULL && strcmp (line->flow, subject->flow) == 0;
+  return lc_explain__is_named (subject, line->request) || lc_explain__is_named (subject, line->key);
+}
+
+static bool
+lc_explain__names_any (const LcExplainLine *line)
+{
+  return line->flow != NULL || line->request != NULL || line->key != NULL;
+}
+
 static char *
 lc_explain__process (const LcExplainLine *line)
 {
@@ -156,7 +185,7 @@
 }
 
 static void
-lc_explain__span (const LcExplainLog *log, const char *id, LcExplainSpan *span)
+lc_explain__span (const LcExplainLog *log, const LcExplainSubject *subject, LcExplainSpan *span)
 {
   memset (span, 0, sizeof *span);
   span->processes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -164,7 +193,7 @@
     {
       const LcExplainLine *line = &g_array_index (log->lines, LcExplainLine, i);
 
-      if (line->flow == NULL || strcmp (line->flow, id) != 0)
+      if (!lc_explain__is_about (line, subject))
         continue;
       if (span->n_lines++ == 0)
         span->first_us = line->at_us;
@@ -180,7 +209,7 @@
   char *process;
   bool is_involved;
 
-  if (line->flow != NULL)
+  if (lc_explain__names_any (line))
     return false;
   if (strcmp (line->program, "lychee-control") == 0)
     return !g_str_has_prefix (line->event, "control.peer-");
@@ -190,26 +219,71 @@
   return is_involved;
 }
 
-uint32_t
-lc_explain_flow (const LcExplainLog *log, const char *id, int64_t around_us, GPtrArray *out)
+static uint32_t
+lc_explain__tell (const LcExplainLog *log,
+                  const LcExplainSubject *subject,
+                  int64_t around_us,
+                  GPtrArray *out)
 {
   LcExplainSpan span;
 
-  lc_explain__span (log, id, &span);
+  lc_explain__span (log, subject, &span);
   for (guint i = 0; span.n_lines > 0 && i < log->lines->len; i++)
     {
       LcExplainLine *line = &g_array_index (log->lines, LcExplainLine, i);
 
       if (line->at_us < span.first_us - around_us || line->at_us > span.last_us + around_us)
         continue;
-      if ((line->flow != NULL && strcmp (line->flow, id) == 0) ||
-          lc_explain__is_context (line, &span))
+      if (lc_explain__is_about (line, subject) || lc_explain__is_context (line, &span))
         g_ptr_array_add (out, line);
     }
   g_hash_table_unref (span.processes);
   return span.n_lines;
 }
 
+/* Adds the other ids that lines about the request name: true when there was a new one. */
+static bool
+lc_explain__learn_names (const LcExplainLog *log, const LcExplainSubject *subject)
+{
+  bool is_new = false;
+
+  for (guint i = 0; i < log->lines->len; i++)
+    {
+      const LcExplainLine *line = &g_array_index (log->lines, LcExplainLine, i);
+      const char *caller_key = json_string_value (json_object_get (line->json, "caller_key"));
+
+      if (!lc_explain__is_about (line, subject) && !lc_explain__is_named (subject, caller_key))
+        continue;
+      if (line->request != NULL)
+        is_new = g_hash_table_add (subject->names, (gpointer)line->request) || is_new;
+      if (line->key != NULL)
+        is_new = g_hash_table_add (subject->names, (gpointer)line->key) || is_new;
+    }
+  return is_new;
+}
+
+/* === public: one flow or request ============================================================ */
+
+uint32_t
+lc_explain_flow (const LcExplainLog *log, const char *id, int64_t around_us, GPtrArray *out)
+{
+  return lc_explain__tell (log, &(LcExplainSubject){ .flow = id }, around_us, out);
+}
+
+uint32_t
+lc_explain_request (const LcExplainLog *log, const char *id, int64_t around_us, GPtrArray *out)
+{
+  LcExplainSubject subject = { .names = g_hash_table_new (g_str_hash, g_str_equal) };
+  uint32_t n;
+
+  (void)g_hash_table_add (subject.names, (gpointer)id);
+  while (lc_explain__learn_names (log, &subject))
+    ;
+  n = lc_explain__tell (log, &subject, around_us, out);
+  g_hash_table_unref (subject.names);
+  return n;
+}
+
 /* === public: which flows ==================================================================== */
 
 static bool
--- a/src/cli/lc-explain.h
+++ b/src/cli/lc-explain.h
@@ -12,6 +12,7 @@
  *     lc_explain_read (&log, "balancer.log", &error);      for each file
  *     lc_explain_sort (&log);
  *     n = lc_explain_flow (&log, "10.0.0.7:40001>198.18.0.1:443", 2 * LC_US_PER_S, out);
+ *     n = lc_explain_request (&log, "order-17", 2 * LC_US_PER_S, out);
  *     lc_explain_finish (&log);
  *
  * LIFETIME
@@ -38,7 +39,9 @@
   const char *program;
   const char *name;
   const char *event;
-  const char *flow; /* NULL: it speaks of no flow */
+  const char *flow;    /* NULL: it speaks of no flow */
+  const char *request; /* id of one copy of a request; NULL: it names none */
+  const char *key;     /* id of the key of its copies; NULL: it names none */
 } LcExplainLine;
 
 typedef struct
@@ -82,6 +85,10 @@
  * lines name the flow. */
 uint32_t
 lc_explain_flow (const LcExplainLog *log, const char *id, int64_t around_us, GPtrArray *out);
+/* The same of a request: `id` is a Lychee-Request-Id, the id of one copy, or a caller's
+ * Idempotency-Key.  All copies under one key are one request. */
+uint32_t
+lc_explain_request (const LcExplainLog *log, const char *id, int64_t around_us, GPtrArray *out);
 /* Flows that fit, by their first lines' time; into `out` (LcExplainFlow). */
 void lc_explain_flows (const LcExplainLog *log, const LcExplainQuery *query, GArray *out);
 /* "2026-08-05T13:02:53.138022Z", or seconds since 1970; negative: neither. */
--- a/src/core/request/lc-claim-store.c
+++ b/src/core/request/lc-claim-store.c
@@ -22,6 +22,25 @@
   g_queue_push_tail (&store->expiries, expiry);
 }
 
+const char *
+lc_claim_result_name (LcClaimResult result)
+{
+  switch (result)
+    {
+    case LC_CLAIM_GRANTED:
+      return "granted";
+    case LC_CLAIM_HELD:
+      return "held";
+    case LC_CLAIM_STALE:
+      return "other-era";
+    case LC_CLAIM_NOT_READY:
+      return "not-ready";
+    case LC_CLAIM_FULL:
+      return "full";
+    }
+  return "no-answer";
+}
+
 void
 lc_claim_store_init (LcClaimStore *store, const LcClaimStoreDesc *desc)
 {
--- a/src/core/request/lc-claim-store.h
+++ b/src/core/request/lc-claim-store.h
@@ -38,6 +38,9 @@
     LC_CLAIM_FULL = 5,
   } LcClaimResult;
 
+  /* A stable word for logs; "no-answer" for 0. */
+  const char *lc_claim_result_name (LcClaimResult result);
+
   typedef struct
   {
     LcRequestKey key; /* first: the table hashes it */
--- a/src/core/request/lc-request-agent-claim.c
+++ b/src/core/request/lc-request-agent-claim.c
@@ -23,6 +23,22 @@
   return agent->desc.keep_us + MAX (left_us, 0);
 }
 
+void
+lc_agent__note_held_up (LcRequestAgent *agent, LcRun *run, LcMemberRef home, LcClaimResult why)
+{
+  LcAgentAction *action;
+
+  if (run->is_held_up || run->asks->len == 0)
+    return;
+  run->is_held_up = true;
+  action = lc_agent__act (agent, LC_AGENT_HELD_UP);
+  action->held_up.ask = g_array_index (run->asks, LcAsk, 0);
+  action->held_up.key = run->key;
+  action->held_up.home = home;
+  action->held_up.why = why;
+  action->held_up.deadline_us = run->deadline_us;
+}
+
 /* This agent is one of the homes itself. */
 static LcClaimVerdict
 lc_agent__claim_here (LcRequestAgent *agent, LcRun *run, LcMemberRef *holder, int64_t now_us)
@@ -34,6 +50,8 @@
       lc_agent__claim_keep_us (agent, run, now_us), now_us, &hold);
 
   *holder = hold.owner;
+  if (result != LC_CLAIM_GRANTED && result != LC_CLAIM_HELD)
+    lc_agent__note_held_up (agent, run, agent->desc.self, result);
   return lc_claim_try_answer (claim, agent->desc.self, claim->sequence, claim->era, result);
 }
 
@@ -113,7 +131,10 @@
                       lc_claim_era_now (&agent->era), present != NULL ? present->members : NULL,
                       n_members);
   if (run->claim.n_homes == 0)
-    lc_agent__pause (agent, run, now_us);
+    {
+      lc_agent__note_held_up (agent, run, (LcMemberRef){ 0 }, LC_CLAIM_NOT_READY);
+      lc_agent__pause (agent, run, now_us);
+    }
   else
     lc_agent__ask_homes (agent, run, now_us);
 }
@@ -183,6 +204,8 @@
 
   if (run == NULL || run->state != LC_RUN_STATE_CLAIMING || reply->sequence != run->claim.sequence)
     return;
+  if (reply->result != LC_CLAIM_GRANTED && reply->result != LC_CLAIM_HELD)
+    lc_agent__note_held_up (agent, run, reply->home, reply->result);
   if (reply->result == LC_CLAIM_NOT_READY &&
       lc_agent__refuse_lost (agent, run, reply->lost_for_us, now_us))
     return;
--- a/src/core/request/lc-request-agent-private.h
+++ b/src/core/request/lc-request-agent-private.h
@@ -49,6 +49,7 @@
   int64_t started_us;
   int64_t expires_us;     /* of the record */
   int64_t retry_after_us; /* told when it is refused; 0: by the load of the backend server */
+  bool is_held_up;        /* and that was told */
   LcClaimTry claim;
   GArray *asks;          /* LcAsk */
   LcRefuseReason reason; /* UNKNOWN */
@@ -84,6 +85,8 @@
 void lc_agent__pump (LcRequestAgent *agent, int64_t now_us);
 void lc_agent__stop (LcRequestAgent *agent, LcRun *run, int64_t now_us);
 void lc_agent__admit (LcRequestAgent *agent, LcRun *run, int64_t now_us);
+void
+lc_agent__note_held_up (LcRequestAgent *agent, LcRun *run, LcMemberRef home, LcClaimResult why);
 void lc_agent__pause (LcRequestAgent *agent, LcRun *run, int64_t now_us);
 void lc_agent__start_claim (LcRequestAgent *agent, LcRun *run, int64_t now_us);
 
--- a/src/core/request/lc-request-agent.c
+++ b/src/core/request/lc-request-agent.c
@@ -360,7 +360,11 @@
           lc_agent__abandon_plain (agent, run, LC_REFUSE_UNCLAIMED);
         }
       else if (now_us >= run->again_us)
-        lc_agent__start_claim (agent, run, now_us);
+        {
+          if (run->state == LC_RUN_STATE_CLAIMING)
+            lc_agent__note_held_up (agent, run, (LcMemberRef){ 0 }, 0);
+          lc_agent__start_claim (agent, run, now_us);
+        }
       break;
     case LC_RUN_STATE_RUNNING:
       if (now_us >= run->deadline_us)
--- a/src/core/request/lc-request-agent.h
+++ b/src/core/request/lc-request-agent.h
@@ -82,6 +82,8 @@
     LC_AGENT_READ = 8,    /* read: ask this member for its claims */
     LC_AGENT_KEEP = 9,    /* keep: a claim as it stands now, for a process that starts again; before
                            * any later action and before the reply to the call that brought it */
+    LC_AGENT_HELD_UP =
+        10, /* held_up: its key can't be claimed for now; told once a run, for logs */
   } LcAgentActionKind;
 
   typedef struct
@@ -117,6 +119,14 @@
         LcMemberRef member;
         LcRevision era;
       } read;
+      struct
+      {
+        LcAsk ask; /* the first that waits for the run */
+        LcRequestKey key;
+        LcMemberRef home;  /* none: there is no home, or none has answered */
+        LcClaimResult why; /* 0: no answer */
+        int64_t deadline_us;
+      } held_up;
       LcClaimHold keep; /* expires_us 0: it is held no more */
     };
   } LcAgentAction;
--- a/src/io/lc-flow-log.c
+++ b/src/io/lc-flow-log.c
@@ -50,7 +50,8 @@
   LcLogField fields[9];
   uint32_t n = 0;
 
-  if (!lc_log_enabled (rule->level) || !lc_log_allow (limit, now_us, rule->per_s))
+  if (!lc_log_enabled (rule->level) ||
+      !lc_log_allow (limit, now_us, log->is_shared ? rule->per_s / 2 : rule->per_s))
     return;
   lc_flow_id_format (line->key, id);
   fields[n++] = (LcLogField){ "flow", LC_STR (id) };
--- a/src/io/lc-flow-log.h
+++ b/src/io/lc-flow-log.h
@@ -13,7 +13,8 @@
  *   Each kind has a budget a second of its own, so that a flood of one never hides another: what
  *   was refused, dropped, returned or late is not displaced by what went well.  A line says in
  *   "left_out" how many of its kind were left out since the one before.  All kinds together stay
- *   below LC_FLOW_LOG_PER_S lines a second.
+ *   below LC_FLOW_LOG_PER_S lines a second, or half of that in a process that logs requests, too
+ *   (lc-request-log).
  *
  * LIFETIME
  *   LcFlowLog is a plain value; zero is a fresh one.  The key must live during the call.
@@ -47,6 +48,7 @@
 {
   LcLogLimit limits[LC_N_FLOW_LOG_KINDS];
   uint64_t told[LC_N_FLOW_LOG_KINDS]; /* left out, and said so */
+  bool is_shared;                     /* the process logs requests, too: half of each budget */
 } LcFlowLog;
 
 /* A decision: its inputs and its outcome. */
--- a/tests/fakes/cluster.py
+++ b/tests/fakes/cluster.py
@@ -225,6 +225,12 @@
         with open(os.path.join(self.cluster.dir, self.name + ".log"), errors="replace") as f:
             return f.read()[-2000:]
 
+    def events(self, name):
+        """All log lines of one event."""
+        with open(os.path.join(self.cluster.dir, self.name + ".log"), errors="replace") as f:
+            lines = [json.loads(line) for line in f if line.startswith("{") and line.endswith("}\n")]
+        return [line for line in lines if line["event"] == name]
+
     def append(self, lines):
         with open(self.view, "a") as f:
             f.write("".join(lines))
--- a/tests/platform/test-explain.c
+++ b/tests/platform/test-explain.c
@@ -35,21 +35,24 @@
 };
 
 static void
-load (LcExplainLog *log)
+load_text (LcExplainLog *log, const char *text)
 {
+  char path[] = "/tmp/lychee-test-explain.XXXXXX";
+  int fd = mkstemp (path);
   LcError error = { 0 };
 
+  ck_assert_int_eq (write (fd, text, strlen (text)), (ssize_t)strlen (text));
+  close (fd);
+  ck_assert_int_eq (lc_explain_read (log, path, &error), 0);
+  unlink (path);
+}
+
+static void
+load (LcExplainLog *log)
+{
   lc_explain_init (log);
   for (size_t i = 0; i < G_N_ELEMENTS (FILES); i++)
-    {
-      char path[] = "/tmp/lychee-test-explain.XXXXXX";
-      int fd = mkstemp (path);
-
-      ck_assert_int_eq (write (fd, FILES[i], strlen (FILES[i])), (ssize_t)strlen (FILES[i]));
-      close (fd);
-      ck_assert_int_eq (lc_explain_read (log, path, &error), 0);
-      unlink (path);
-    }
+    load_text (log, FILES[i]);
   lc_explain_sort (log);
 }
 
@@ -73,6 +76,46 @@
   { "10.0.0.7:4000>198.18.0.1:443", 0, 0, { NULL } },
 };
 
+#define REQUEST(request) ",\"request\":\"" request "\""
+#define KEY(key) ",\"key\":\"" key "\""
+
+/* Two copies of one order through two balancers; the second agent names one copy, a home the key.
+ */
+static const char ORDERS[] = AT ("10.000000",
+                                 "lychee-balancer",
+                                 "lb-1",
+                                 "request.sent",
+                                 REQUEST ("0a") KEY ("ff") ",\"caller_key\":\"order-17\"")
+    AT ("10.100000", "lychee-agent", "desk-1", "request.held-up", REQUEST ("0a") KEY ("ff")) AT (
+        "10.150000", "lychee-agent", "desk-2", "request.claim-refused", KEY ("ff"))
+        AT ("10.200000", "lychee-balancer", "lb-1", "request.failed", REQUEST ("0a")) AT (
+            "10.300000", "lychee-balancer", "lb-2", "request.sent", REQUEST ("0b") KEY ("ff"))
+            AT ("10.400000", "lychee-agent", "desk-2", "request.started", REQUEST ("0b")) AT (
+                "10.500000", "lychee-balancer", "lb-2", "request.sent", REQUEST ("0c") KEY ("fe"));
+
+/* Whatever of its names a caller knows. */
+static const struct
+{
+  const char *id;
+  uint32_t n_lines;
+} REQUESTS[] = { { "order-17", 6 }, { "ff", 6 }, { "0a", 6 }, { "0b", 6 },
+                 { "0c", 1 },       { "fe", 1 }, { "no", 0 } };
+
+START_TEST (test_request)
+{
+  GPtrArray *lines = g_ptr_array_new ();
+  LcExplainLog log;
+
+  lc_explain_init (&log);
+  load_text (&log, ORDERS);
+  lc_explain_sort (&log);
+  ck_assert_uint_eq (lc_explain_request (&log, REQUESTS[_i].id, 0, lines), REQUESTS[_i].n_lines);
+  ck_assert_uint_eq (lines->len, REQUESTS[_i].n_lines);
+  g_ptr_array_unref (lines);
+  lc_explain_finish (&log);
+}
+END_TEST
+
 START_TEST (test_flow)
 {
   GPtrArray *lines = g_ptr_array_new ();
@@ -169,6 +212,7 @@
   Suite *suite = suite_create ("explain");
   TCase *tcase = tcase_create ("explain");
 
+  tcase_add_loop_test (tcase, test_request, 0, (int)G_N_ELEMENTS (REQUESTS));
   tcase_add_loop_test (tcase, test_flow, 0, (int)G_N_ELEMENTS (FLOWS));
   tcase_add_loop_test (tcase, test_flows, 0, (int)G_N_ELEMENTS (QUERIES));
   tcase_add_loop_test (tcase, test_time, 0, (int)G_N_ELEMENTS (TIMES));
--- a/tests/platform/test-observe.c
+++ b/tests/platform/test-observe.c
@@ -4,6 +4,7 @@
 #include "io/lc-http.h"
 #include "io/lc-log.h"
 #include "io/lc-metrics.h"
+#include "io/lc-request-log.h"
 #include "tests/fakes/lc-fake-run.h"
 
 #include <arpa/inet.h>
@@ -152,22 +153,73 @@
   lc_flow_log (&log, user, 1);
 }
 
-START_TEST (test_flow_lines)
+/* What `write` writes of `line` is `json`, besides what each line has. */
+static void
+check_line (void (*write) (const void *user), const void *line, const char *json)
 {
   static const char *const COMMON[] = { "time", "level", "program", "name" };
-  json_t *wanted = json_loads (FLOW_LINES[_i].json, 0, NULL);
-  json_t *line;
+  json_t *wanted = json_loads (json, 0, NULL);
+  json_t *written;
 
   lc_log_init (LC_LOG_INFO, "lychee-test", "vm-1");
-  line = line_of (write_flow, &FLOW_LINES[_i].line);
-  ck_assert_ptr_nonnull (line);
+  written = line_of (write, line);
+  ck_assert_ptr_nonnull (written);
   ck_assert_ptr_nonnull (wanted);
   for (size_t i = 0; i < G_N_ELEMENTS (COMMON); i++)
-    ck_assert_int_eq (json_object_del (line, COMMON[i]), 0);
-  ck_assert (json_equal (line, wanted));
-  json_decref (line);
+    ck_assert_int_eq (json_object_del (written, COMMON[i]), 0);
+  ck_assert (json_equal (written, wanted));
+  json_decref (written);
   json_decref (wanted);
 }
+
+START_TEST (test_flow_lines)
+{
+  check_line (write_flow, &FLOW_LINES[_i].line, FLOW_LINES[_i].json);
+}
+END_TEST
+
+static const struct
+{
+  LcRequestLogLine line;
+  const char *json; /* without time, level, program and name */
+} REQUEST_LINES[] = {
+  { { .kind = LC_REQUEST_LOG_SENT,
+      .id = { 1, 2 },
+      .key = { 3, 4 },
+      .caller_key = "order-17 and what follows it",
+      .caller_key_len = 8,
+      .service = "order-desk",
+      .attempt = 1,
+      .to = { .ipv4 = 0x0a010002, .port = 7000 },
+      .left_us = 2950000 },
+    "{\"event\":\"request.sent\",\"request\":\"00000000000000010000000000000002\",\"key\":"
+    "\"00000000000000030000000000000004\",\"caller_key\":\"order-17\",\"service\":\"order-desk\","
+    "\"attempt\":1,\"to\":\"10.1.0.2:7000\",\"left_ms\":2950}" },
+  { { .kind = LC_REQUEST_LOG_FAILED,
+      .id = { 1, 2 },
+      .why = "deadline",
+      .outcome = "unknown",
+      .took_us = 2951000,
+      .retry_after_us = 10000 },
+    "{\"event\":\"request.failed\",\"request\":\"00000000000000010000000000000002\",\"why\":"
+    "\"deadline\",\"outcome\":\"unknown\",\"took_ms\":2951,\"retry_after_ms\":10}" },
+  { { .kind = LC_REQUEST_LOG_CLAIM, .key = { 3, 4 }, .why = "not-ready", .member = { 7, 1 } },
+    "{\"event\":\"request.claim-refused\",\"key\":\"00000000000000030000000000000004\",\"why\":"
+    "\"not-ready\",\"endpoint\":7}" },
+};
+
+static void
+write_request (const void *user)
+{
+  LcRequestLog log = { 0 };
+
+  lc_request_log (&log, user, 1);
+}
+
+START_TEST (test_request_lines)
+{
+  check_line (write_request, &REQUEST_LINES[_i].line, REQUEST_LINES[_i].json);
+}
 END_TEST
 
 /* A flood of one kind is cut off at its budget and said in the next line; another kind is not
@@ -412,6 +464,7 @@
   tcase_add_test (tcase, test_metrics_text);
   tcase_add_loop_test (tcase, test_histogram, 0, G_N_ELEMENTS (BUCKETS));
   tcase_add_loop_test (tcase, test_flow_lines, 0, (int)G_N_ELEMENTS (FLOW_LINES));
+  tcase_add_loop_test (tcase, test_request_lines, 0, (int)G_N_ELEMENTS (REQUEST_LINES));
   tcase_add_test (tcase, test_flow_flood);
   tcase_add_loop_test (tcase, test_log_line, 0, G_N_ELEMENTS (TEXTS));
   tcase_add_test (tcase, test_log_never_blocks);
--- a/tests/request/fake-world.cc
+++ b/tests/request/fake-world.cc
@@ -249,6 +249,8 @@
         send (std::move (m));
         break;
       }
+    case LC_AGENT_HELD_UP:
+      break;
     case LC_AGENT_KEEP:
       p.kept_claims[{ action.keep.key.hi, action.keep.key.lo }] = action.keep;
       break;
--- a/tests/request/test_failures.py
+++ b/tests/request/test_failures.py
@@ -79,8 +79,16 @@
     def owner(self, key):
         return [b.runs.get(key, 0) for b in self.cluster.backends].index(1)
 
+    def assert_logged(self, headers):
+        """Soaks ended with orders that no line of any log named."""
+        lines = [line for b in self.cluster.balancers for line in b.events("request.failed")
+                 if headers["lychee-request-id"] in (line.get("key"), line.get("request"))]
+        self.assertIn((headers["lychee-reason"], headers["lychee-outcome"]),
+                      [(line.get("why"), line.get("outcome")) for line in lines])
+
     def assert_unknown(self, answer, key):
         status, headers, _ = answer
+        self.assert_logged(headers)
         self.assertIn(status, (502, 504))
         self.assertEqual(headers["lychee-outcome"], "unknown")
         self.assertIn("retry-after", headers)
@@ -89,6 +97,7 @@
 
     def assert_not_run(self, answer, key):
         status, headers, _ = answer
+        self.assert_logged(headers)
         self.assertIn(status, (503, 504))
         self.assertEqual(headers["lychee-outcome"], "not-run")
         self.assertIn("retry-after", headers)
--- a/tools/completion/lychee.bash
+++ b/tools/completion/lychee.bash
@@ -12,7 +12,7 @@
     lychee:status) options='--control --settings --json --timeout-s --who --request-id --help' ;;
     lychee:history) options='--max --control --settings --json --timeout-s --who --request-id --help' ;;
     lychee:burn) options='--service --admin-port --history --html --fail-on-page --control --settings --json --timeout-s --who --request-id --help' ;;
-    lychee:explain) options='--flow --service --caller --vm --since --until --bad --spread --svg --around-ms --json --help' ;;
+    lychee:explain) options='--flow --request --service --caller --vm --since --until --bad --spread --svg --around-ms --json --help' ;;
     lychee:*) options='plan confirm evacuate status history burn explain --help --version' ;;
   esac
   mapfile -t COMPREPLY < <(compgen -W "$options" -- "$word"; compgen -f -- "$word")
