A caller that says how long it waits is answered a little before it leaves

Traced with the request lines: their backend servers were behind silent links, so the runs end at the deadline, and the answer (504, unknown) was due at the very moment at which the caller left.

The deadline of a caller that states one is a tenth of it, at most 50 ms, earlier.

The soak's "open" was three things. Half of its callers state their limit, and a balancer that no fault touches must answer them in time.

--- a/src/core/request/lc-deadline.h
+++ b/src/core/request/lc-deadline.h
@@ -4,7 +4,8 @@
  *   The deadline is the service's timeout, shortened by what the caller asks for, and never longer
  *   than a minute: claims rely on that bound.  Between processes only the time left is sent, never
  *   a clock value, so clocks need not agree.  An agent is given a little less than the balancer
- *   has, so that its refusal ("expired while queued: not run") still arrives in time.
+ *   has, so that its refusal ("expired while queued: not run") still arrives in time; and a caller
+ *   that says how long it waits is answered a little before that.
  */
 #ifndef LC_DEADLINE_H
 #define LC_DEADLINE_H
@@ -50,6 +51,18 @@
     return left_us - (margin_us < LC_DEADLINE_MARGIN_US ? margin_us : LC_DEADLINE_MARGIN_US);
   }
 
+  /* When a caller is answered at the latest.  One that has said how long it waits is answered a
+   * little before it leaves: an answer at that moment meets nobody. */
+  static inline int64_t
+  lc_deadline_answer_us (int64_t now_us, uint32_t service_ms, uint32_t caller_ms)
+  {
+    int64_t deadline_us = lc_deadline_us (now_us, service_ms, caller_ms);
+    int64_t leaves_us = now_us + caller_ms * LC_US_PER_MS;
+    int64_t answer_us = now_us + lc_deadline_left_us (leaves_us, now_us);
+
+    return caller_ms != 0 && answer_us < deadline_us ? answer_us : deadline_us;
+  }
+
 #ifdef __cplusplus
 }
 #endif
--- a/tests/e2e/lychee_site.py
+++ b/tests/e2e/lychee_site.py
@@ -43,20 +43,26 @@
             continue
 
 
-def ask(method, url, body=None, headers=None, timeout=20):
-    """Status, headers and whole body; None for a connection that failed or an answer cut short."""
+def ask_or_raise(method, url, body=None, headers=None, timeout=20):
+    """Status, headers and whole body; OSError (TimeoutError: nothing came in time) or HTTPException without them."""
     address, _, path = url.partition("/")
     connection = http.client.HTTPConnection(address, timeout=timeout)
     try:
         connection.request(method, "/" + path, body, headers or {})
         answer = connection.getresponse()
         return answer.status, dict(answer.getheaders()), answer.read()
-    except (OSError, http.client.HTTPException):
-        return None
     finally:
         connection.close()
 
 
+def ask(method, url, body=None, headers=None, timeout=20):
+    """The same; None for a connection that failed or an answer cut short."""
+    try:
+        return ask_or_raise(method, url, body, headers, timeout)
+    except (OSError, http.client.HTTPException):
+        return None
+
+
 class Site:
     def __init__(self, build, desks=3, vaults=0, controls=3, balancers=2, service_ms=5):
         self.build = build
@@ -226,8 +232,14 @@
     # --- callers ------------------------------------------------------------------------------
 
     def order(self, key, balancer, timeout=20):
-        return ask("POST", f"{self.balancer_http(balancer)}/orders", b'{"uplift_l":4200}', {"Idempotency-Key": key},
-                   timeout)
+        try:
+            return self.order_or_raise(key, balancer, timeout)
+        except (OSError, http.client.HTTPException):
+            return None
+
+    def order_or_raise(self, key, balancer, timeout=20, headers=None):
+        return ask_or_raise("POST", f"{self.balancer_http(balancer)}/orders", b'{"uplift_l":4200}',
+                            {"Idempotency-Key": key} | (headers or {}), timeout)
 
     def runs(self, key=""):
         """Runs of a key (or all) over the backend servers that still live."""
--- a/tests/request/test-request.c
+++ b/tests/request/test-request.c
@@ -390,6 +390,12 @@
   ck_assert_int_eq (lc_deadline_us (0, 500, 9000), 500 * LC_US_PER_MS);
   ck_assert_int_eq (lc_deadline_us (0, 999999, 0), 60 * LC_US_PER_S);
   ck_assert_int_eq (lc_deadline_left_us (100, 100), 0);
+  /* A caller that waits 3 s got its answer at 3.00 s, when it had left (soak seed 6102). */
+  ck_assert_int_eq (lc_deadline_answer_us (7, 0, 3000), 7 + 2950 * LC_US_PER_MS);
+  ck_assert_int_eq (lc_deadline_answer_us (0, 0, 100), 90 * LC_US_PER_MS);
+  ck_assert_int_eq (lc_deadline_answer_us (0, 500, 9000), 500 * LC_US_PER_MS);
+  ck_assert_int_eq (lc_deadline_answer_us (0, 500, 0), 500 * LC_US_PER_MS);
+  ck_assert_int_eq (lc_deadline_answer_us (0, 500, 520), 470 * LC_US_PER_MS);
   ck_assert_int_eq (lc_deadline_left_us (1000, 0), 900);
 }
 END_TEST
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -3,6 +3,7 @@
 Each check appends to `broken`: what was promised, and what was seen instead.
 """
 import collections
+import http.client
 import json
 import threading
 import time
@@ -14,6 +15,7 @@
 PAUSE_S = 0.1
 SERVED_S = 12  # the users' pages: this long after a fault requests are served again (recoveryS)
 ANSWER_S = 3  # a caller's patience with one attempt: bytes that a fault swallowed never come
+LATE_S = 2  # besides, on a busy machine, for callers that say how long they wait
 
 
 class Broken:
@@ -38,7 +40,9 @@
         self.stop = threading.Event()
         self.per_second = collections.Counter()  # whole answers, by the second of the run
         self.served_at = time.monotonic()  # the newest whole answer
-        self.not_run, self.counts = set(), {"whole": 0, "not-run": 0, "unknown": 0, "open": 0}
+        self.not_run = set()
+        # "unreachable": no attempt met a balancer that answered; "open": an order that is none of the others
+        self.counts = {"whole": 0, "not-run": 0, "unknown": 0, "unreachable": 0, "open": 0}
         self.threads = [threading.Thread(target=self.run, args=(i,)) for i in range(n)]
         for thread in self.threads:
             thread.start()
@@ -54,11 +58,30 @@
                 self.counts[outcome] += 1
                 self.per_second[int(time.monotonic() - self.broken.start)] += outcome == "whole"
 
+    def ask(self, key, balancer, says_limit):
+        """The answer, or what came instead of it: "refused", "silent" or "cut"."""
+        began = time.monotonic()
+        headers = {"Lychee-Timeout-Ms": str(ANSWER_S * 1000)} if says_limit else {}
+        try:
+            return self.site.order_or_raise(key, balancer, ANSWER_S + (LATE_S if says_limit else 0), headers)
+        except TimeoutError:
+            took_s = time.monotonic() - began
+            if says_limit and self.site.is_calm((balancer, f"link {balancer}"), took_s + 1):
+                self.broken.add("a living balancer answers before its caller's limit", f"{key} at {balancer}: nothing in {took_s:.2f} s")
+            return "silent"
+        except ConnectionRefusedError:
+            return "refused"
+        except (OSError, http.client.HTTPException):
+            return "cut"
+
     def send(self, key, first, gives_up):
-        may_have_run, n_unknown = False, 0
+        may_have_run, n_unknown, seen = False, 0, []
         for attempt in range(ATTEMPTS_MAX):
             names = self.site.balancers
-            answer = self.site.order(key, names[(first + attempt) % len(names)], ANSWER_S)
+            balancer = names[(first + attempt) % len(names)]
+            answer = self.ask(key, balancer, says_limit=first % 2 == 0)
+            seen.append(answer if isinstance(answer, str) else f"{answer[0]} {answer[1].get('lychee-reason', '')}")
+            answer = None if isinstance(answer, str) else answer
             if answer and answer[0] == 200:
                 self.check_whole(key, answer[2])
                 return "whole"
@@ -72,8 +95,9 @@
             if n_unknown == UNKNOWN_MAX:
                 return "unknown"
             time.sleep(PAUSE_S)
-        print(f"{key} stays open, last answer: {answer and (answer[0], answer[1].get('lychee-outcome'), answer[2][:120])}")
-        return "open"
+        outcome = "unknown" if n_unknown else "unreachable" if set(seen) <= {"refused", "cut"} else "open"
+        print(f"{key} stays {outcome}: {', '.join(seen)}", flush=True)
+        return outcome
 
     def check_whole(self, key, body):
         try:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -288,6 +288,12 @@
         time.sleep(rng.uniform(0.0, 1.5))
 
 
+def keep(site):
+    kept = f"{site.folder}.kept"
+    shutil.copytree(site.folder, kept, dirs_exist_ok=True)
+    print(f"  settings and logs: {kept}", flush=True)
+
+
 def run_seed(build, seed, seconds, size, planned_only, verbose):
     """The promises that one seed broke."""
     rng, log = random.Random(seed), []
@@ -321,9 +327,8 @@
         if broken.found:
             for promise, what in broken.found[:20]:
                 print(f"  {promise}: {what}")
-            kept = f"{site.folder}.kept"
-            shutil.copytree(site.folder, kept, dirs_exist_ok=True)
-            print(f"  settings and logs: {kept}", flush=True)
+        if broken.found or verbose:
+            keep(site)
     return broken.found
 
 
@@ -335,7 +340,7 @@
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--size", choices=SIZES, default="small")
     parser.add_argument("--planned", action="store_true", help="planned work only: no flow may break")
-    parser.add_argument("--verbose", action="store_true", help="print the faults of whole runs, too")
+    parser.add_argument("--verbose", action="store_true", help="print the faults of whole runs, too, and keep their logs")
     parser.add_argument("--seeds-file", help="a seed a line (`SEED [planned]  cause`), instead of --seed and --runs")
     args = parser.parse_args()
     runs = [(seed, args.planned) for seed in range(args.seed, args.seed + args.runs)]
