Searches: an endpoint that says nothing is asked whether it is there, not for each flow

What callers see is the time until they are told that their flow is gone. A searcher asked every endpoint that had not answered for every round that was under way, each 100 ms: up to 40 rounds of 2 s, so that the questions to endpoints that are not there grew with the square of the time. Each is a message of 2.5 KB in memory; 13 rounds to 544 endpoints are 18 MB, and a thin VM spends its processor on them instead of on those that are there.

Who is silent for longer than an answer takes gets one question a retry. When it speaks, of whatever kind, it is asked at once for all that is looked for: test_callers_are_told_when_the_silent_speak.

SUSPECTED, not shown: that the 21.5 MB of agents after a loss of all power that the first look saw are these messages.

--- a/src/core/flow/lc-assign.h
+++ b/src/core/flow/lc-assign.h
@@ -103,6 +103,7 @@
     int64_t joined_us; /* when this agent first saw it JOINING; 0: ramped */
     int64_t lost_us;   /* when this agent first saw it LOST; 0: it is not */
     int64_t asked_us;  /* when a searcher asked it first since it said anything; 0: it has spoken */
+    int64_t asked_last_us; /* and when it did so last */
     bool is_candidate;
     bool is_evacuated; /* its data centre is */
     uint8_t region;    /* of its data centre: lc_view_region */
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -269,13 +269,9 @@
   return lc_flow_agent__decide (a, e, packet, now_us, !is_renewed);
 }
 
-void
-lc_flow_agent_message (LcFlowAgent *a, const LcFlowMessage *m, int64_t now_us)
+static void
+lc_flow_agent__take_message (LcFlowAgent *a, const LcFlowMessage *m, int64_t now_us)
 {
-  LcAssignPeer *sender = lc_assign_peer (&a->assign, m->load.agent.id);
-
-  if (sender != NULL)
-    sender->asked_us = 0; /* whatever start of it speaks: it is there */
   if (m->service_id != a->desc.service_id || !lc_flow_agent__is_for_self (a, m))
     return;
   a->counts.messages_total++;
@@ -312,6 +308,18 @@
     }
 }
 
+void
+lc_flow_agent_message (LcFlowAgent *a, const LcFlowMessage *m, int64_t now_us)
+{
+  LcAssignPeer *sender = lc_assign_peer (&a->assign, m->load.agent.id);
+  /* Whatever start of it speaks: it is there. */
+  bool was_silent = sender != NULL && lc_flow_finder_heard (sender, now_us);
+
+  lc_flow_agent__take_message (a, m, now_us);
+  if (was_silent)
+    lc_flow_finder_catch_up (a, m->load.agent.id, now_us);
+}
+
 void
 lc_flow_agent_tick (LcFlowAgent *a, int64_t now_us)
 {
--- a/src/core/flow/lc-flow-finder.c
+++ b/src/core/flow/lc-flow-finder.c
@@ -117,26 +117,47 @@
     }
 }
 
+static void
+lc_flow_finder__ask_member (LcFlowAgent *a,
+                            const LcFlowRound *round,
+                            LcAssignPeer *peer,
+                            int64_t now_us)
+{
+  LcFlowMessage *m = lc_flow_pointers_message (a, LC_FLOW_ASK, &peer->agent);
+
+  m->round = round->id;
+  m->n = round->n;
+  if (peer->asked_us == 0)
+    peer->asked_us = now_us;
+  peer->asked_last_us = now_us;
+  for (uint32_t k = 0; k < round->n; k++)
+    m->entries[k].key = round->keys[k];
+  a->counts.asked_total++;
+}
+
+/* It was asked, and has said nothing since for longer than an answer takes. */
+static bool
+lc_flow_finder__is_silent (const LcAssignPeer *peer, int64_t now_us)
+{
+  return peer->asked_us != 0 && now_us - peer->asked_us >= LC_FLOW_ROUND_RETRY_US;
+}
+
 /* Asks the members that have not answered the round.  Those whose agents don't know all are asked
- * as well: they may know by now. */
+ * as well: they may know by now.  A silent one gets one question a retry, of whatever round, to
+ * learn whether it is there: questions for each round would grow with the square of the time. */
 static void
 lc_flow_finder__send_round (LcFlowAgent *a, const LcFlowRound *round, int64_t now_us)
 {
   for (uint32_t i = 0; i < a->searches->n_members; i++)
     {
       LcAssignPeer *peer = lc_assign_peer (&a->assign, a->searches->members[i].id);
-      LcFlowMessage *m;
 
       if (peer == NULL || peer->agent.id == a->desc.self.id || !lc_flow_search_is_asked (round, i))
         continue;
-      m = lc_flow_pointers_message (a, LC_FLOW_ASK, &peer->agent);
-      m->round = round->id;
-      m->n = round->n;
-      if (peer->asked_us == 0)
-        peer->asked_us = now_us;
-      for (uint32_t k = 0; k < round->n; k++)
-        m->entries[k].key = round->keys[k];
-      a->counts.asked_total++;
+      if (lc_flow_finder__is_silent (peer, now_us) &&
+          now_us - peer->asked_last_us < LC_FLOW_ROUND_RETRY_US)
+        continue;
+      lc_flow_finder__ask_member (a, round, peer, now_us);
     }
 }
 
@@ -336,6 +357,29 @@
 
 /* === public: messages ======================================================================= */
 
+bool
+lc_flow_finder_heard (LcAssignPeer *peer, int64_t now_us)
+{
+  bool was_silent = lc_flow_finder__is_silent (peer, now_us);
+
+  peer->asked_us = 0;
+  return was_silent;
+}
+
+void
+lc_flow_finder_catch_up (LcFlowAgent *a, LcEndpointId id, int64_t now_us)
+{
+  LcAssignPeer *peer = lc_assign_peer (&a->assign, id);
+  LcFlowSearchMember member;
+  const LcFlowRound *round;
+
+  if (a->searches == NULL || peer == NULL || lc_flow_finder__is_direct (a))
+    return;
+  member = (LcFlowSearchMember){ peer->agent.id, peer->agent.ipv4 };
+  for (uint32_t i = 0; (round = lc_flow_search_unanswered (a->searches, &member, &i)) != NULL;)
+    lc_flow_finder__ask_member (a, round, peer, now_us);
+}
+
 void
 lc_flow_finder_denied (LcFlowAgent *a, const LcFlowMessage *m, int64_t now_us)
 {
--- a/src/core/flow/lc-flow-finder.h
+++ b/src/core/flow/lc-flow-finder.h
@@ -79,6 +79,11 @@
    * action, under which its bytes were kept.  False: nobody. */
   bool lc_flow_finder_next_try (LcFlowAgent *agent, int64_t now_us, LcFlowTry *next);
 
+  /* A peer has said something, of whatever kind: whether it was silent before, though asked. */
+  bool lc_flow_finder_heard (LcAssignPeer *peer, int64_t now_us);
+  /* Asks one that was silent for all that it was not asked meanwhile. */
+  void lc_flow_finder_catch_up (LcFlowAgent *agent, LcEndpointId id, int64_t now_us);
+
   /* The messages of searches. */
   void lc_flow_finder_denied (LcFlowAgent *agent, const LcFlowMessage *message, int64_t now_us);
   void lc_flow_finder_asked (LcFlowAgent *agent, const LcFlowMessage *message);
--- a/src/core/flow/lc-flow-search.c
+++ b/src/core/flow/lc-flow-search.c
@@ -448,6 +448,21 @@
   return member < LC_FLOW_SEARCH_MEMBERS && !lc_flow_search__has (&round->answered, member);
 }
 
+const LcFlowRound *
+lc_flow_search_unanswered (const LcFlowSearches *s, const LcFlowSearchMember *member, uint32_t *at)
+{
+  int place = lc_flow_search__place (s, member);
+
+  while (s->rounds != NULL && place >= 0 && *at < LC_FLOW_ROUNDS)
+    {
+      const LcFlowRound *round = &s->rounds[(*at)++];
+
+      if (round->id != 0 && lc_flow_search_is_asked (round, (uint32_t)place))
+        return round;
+    }
+  return NULL;
+}
+
 void
 lc_flow_search_answer (LcFlowSearches *s,
                        uint32_t id,
--- a/src/core/flow/lc-flow-search.h
+++ b/src/core/flow/lc-flow-search.h
@@ -172,6 +172,11 @@
   /* The next round to be sent, new or again, marked as sent now; NULL: none. */
   const LcFlowRound *lc_flow_search_round (LcFlowSearches *searches, int64_t now_us);
   bool lc_flow_search_is_asked (const LcFlowRound *round, uint32_t member);
+  /* The next round under way that this member has not answered, from place `*at` (0 first) on;
+   * NULL: there is none. */
+  const LcFlowRound *lc_flow_search_unanswered (const LcFlowSearches *searches,
+                                                const LcFlowSearchMember *member,
+                                                uint32_t *at);
   /* The member knows all that its backend server holds, and none of the round's flows is among it
    * but those told to lc_flow_search_found or lc_flow_search_doubt before. */
   void lc_flow_search_answer (LcFlowSearches *searches,
--- a/tests/flow/test-flow-finder.c
+++ b/tests/flow/test-flow-finder.c
@@ -212,6 +212,95 @@
 }
 END_TEST
 
+/* Endpoints that are not there are asked whether they are, not for each flow that is looked for:
+ * after a loss of all power searchers held tens of megabytes of questions to the endpoints that had
+ * been replaced before, and asked those that were there too late.  Doubling the flows or the time
+ * adds what those that answer are asked, and to the others ten questions a second each. */
+static const struct
+{
+  const char *what;
+  int n;
+  int n_silent;
+  int64_t for_us;
+} SILENT[] = {
+  { "a few, 1 s", N_SMALL, 20, LC_US_PER_S },
+  { "half of them, 1 s", N_SMALL, N_SMALL / 2, LC_US_PER_S },
+  { "half of them, 2 s", N_SMALL, N_SMALL / 2, 2 * LC_US_PER_S },
+  { "all but a few, 2 s", N_SMALL, N_SMALL - 10, 2 * LC_US_PER_S },
+};
+
+/* Has `searcher` look for flows that nobody holds, a new one at each tick; how many. */
+static uint32_t
+search_for_lost_flows (RwWorld *w, LcFlowAgent *searcher, int64_t for_us, uint32_t *most_at_once)
+{
+  int64_t began_us = w->now_us;
+  uint32_t n = 0;
+
+  while (w->now_us - began_us < for_us)
+    {
+      LcEnvelope e = { .mode = LC_MODE_FIND };
+      LcPacket p = rw_packet_of (0, false);
+
+      p.key.source_port = (uint16_t)(20000 + n++);
+      (void)lc_flow_finder_search (searcher, &e, &p, w->now_us);
+      *most_at_once = MAX (*most_at_once, g_queue_get_length (searcher->outbox));
+      rw_pass (w, LC_FLOW_AGENT_TICK_US);
+    }
+  return n;
+}
+
+static void
+set_up (RwWorld *w, int n_last, bool is_up)
+{
+  for (int i = 0; i < n_last; i++)
+    w->nodes[w->n_agents - 1 - i].is_up = is_up;
+}
+
+START_TEST (test_silent_endpoints_are_asked_sparingly)
+{
+  uint64_t n_rounds = (uint64_t)(SILENT[_i].for_us / LC_FLOW_ROUND_US) + 1;
+  uint64_t n_retries = (uint64_t)(SILENT[_i].for_us / LC_FLOW_ROUND_RETRY_US) + 1;
+  uint64_t n_silent = (uint64_t)SILENT[_i].n_silent;
+  uint64_t max_asked = ((uint64_t)SILENT[_i].n - n_silent) * n_rounds + n_silent * n_retries;
+  uint32_t most_at_once = 0;
+  LcFlowAgent *searcher;
+  RwWorld w;
+
+  rw_start_sized (&w, SILENT[_i].n, SILENT[_i].n, true);
+  rw_settle (&w);
+  set_up (&w, SILENT[_i].n_silent, false);
+  searcher = &w.nodes[0].agent;
+  (void)search_for_lost_flows (&w, searcher, SILENT[_i].for_us, &most_at_once);
+  ck_assert_msg (searcher->counts.asked_total <= max_asked, "%s: %lu questions, %lu at most",
+                 SILENT[_i].what, (unsigned long)searcher->counts.asked_total,
+                 (unsigned long)max_asked);
+  ck_assert_msg (most_at_once <= 2U * (uint32_t)SILENT[_i].n, "%s: %u at once", SILENT[_i].what,
+                 most_at_once);
+  rw_stop (&w);
+}
+END_TEST
+
+/* Who was silent and speaks again is asked at once for all flows that are looked for. */
+START_TEST (test_callers_are_told_when_the_silent_speak)
+{
+  uint32_t most_at_once = 0;
+  uint32_t n_flows;
+  uint32_t n_resets;
+  RwWorld w;
+
+  rw_start_sized (&w, N_SMALL, N_SMALL, true);
+  rw_settle (&w);
+  set_up (&w, N_SMALL / 2, false);
+  n_flows = search_for_lost_flows (&w, &w.nodes[0].agent, LC_US_PER_S, &most_at_once);
+  ck_assert_uint_eq (rw_take_resets (&w), 0);
+  set_up (&w, N_SMALL / 2, true);
+  pass_until_copy (&w, 0);
+  n_resets = rw_take_resets (&w);
+  ck_assert_msg (n_resets == n_flows, "%u of %u callers were told", n_resets, n_flows);
+  rw_stop (&w);
+}
+END_TEST
+
 /* After a loss of all power each endpoint is announced anew, and for a second agents' views differ
  * by that.  An agent with a newer view knows no endpoint that one with an older view does not know:
  * the callers are told at once.  One that came since may hold the flow, and is waited for. */
@@ -283,6 +372,9 @@
   tcase_add_loop_test (tcase, test_restarts_hold_no_answer_back, 0,
                        (int)G_N_ELEMENTS (NEWER_VIEWS));
   tcase_add_test (tcase, test_silent_endpoint_holds_the_answer_back);
+  tcase_add_test (tcase, test_callers_are_told_when_the_silent_speak);
+  tcase_add_loop_test (tcase, test_silent_endpoints_are_asked_sparingly, 0,
+                       (int)G_N_ELEMENTS (SILENT));
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
 }
