--- a/tests/request/test_failures.py
+++ b/tests/request/test_failures.py
@@ -249,7 +249,7 @@
         c.publish(c.endpoint(0, 2))
         until(lambda: agent.events("flow.early-taken"), "the packets to be taken")
         self.assertEqual([(line["held"], line["taken"]) for line in agent.events("flow.early-taken")], [(3, 3)])
-        self.assertEqual(agent.metric("lychee_flow_malformed_total"), 3)
+        until(lambda: agent.metric("lychee_flow_malformed_total") == 3, "the packets to be read")
 
     # --- connections between balancers and agents that are cut ---
 
