--- a/src/agent/lc-agent-flow-report.c
+++ b/src/agent/lc-agent-flow-report.c
@@ -58,8 +58,6 @@
                      &plane->port.oversized_total);
   lc_flow_meter_add (meter, metrics, "lychee_flow_malformed_total", "Datagrams not understood",
                      NULL, &plane->malformed_total);
-  lc_flow_meter_add (meter, metrics, "lychee_flow_early_total",
-                     "Packets that came before the first view", NULL, &plane->early.held_total);
   lc_flow_meter_add (meter, metrics, "lychee_flow_message_bytes_total",
                      "Bytes of pointers and loads sent to other agents", NULL,
                      &plane->message_bytes_total);
--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -334,13 +334,7 @@
       return;
     }
   if (!plane->has_agent)
-    {
-      /* Balancers have a view sooner than the last agents.  Messages are sent again soon; a caller
-       * whose packet is lost may send its next copy 1.6 s later. */
-      if (lc_envelope_kind (bytes, len) == LC_ENVELOPE_PACKET)
-        lc_packet_hold_put (&plane->early, bytes, len, now_us);
-      return;
-    }
+    return;
   switch (lc_envelope_kind (bytes, len))
     {
     case LC_ENVELOPE_PACKET:
@@ -361,24 +355,6 @@
     }
 }
 
-/* What came before the endpoint was known here. */
-static void
-lc_agent_flow__take_early (LcAgentFlow *plane, int64_t now_us)
-{
-  uint32_t n_taken = 0;
-  LcHeldPacket *packet;
-
-  if (plane->early.packets == NULL)
-    return;
-  while ((packet = lc_packet_hold_next (&plane->early, now_us)) != NULL)
-    {
-      lc_agent_flow__on_envelope (plane, packet->bytes, packet->len, 0, now_us);
-      n_taken++;
-    }
-  LC_INFO ("flow.early-taken", "held", LC_U64 (plane->early.held_total), "taken", LC_U64 (n_taken),
-           "too_old", LC_U64 (plane->early.dropped_total));
-}
-
 static void
 lc_agent_flow__on_batch_end (void *user)
 {
@@ -438,10 +414,7 @@
   lc_timer_start (&plane->timer, LC_AGENT_FLOW_TICK_MS);
   lc_agent_relay_sweep (&plane->relay);
   if (!plane->has_agent)
-    {
-      lc_flow_meter_bring (&plane->meter);
-      return;
-    }
+    return;
   lc_flow_agent_set_cut_off (&plane->agent, lc_member_silence_us (plane->desc.member, now_us) >
                                                 LC_AGENT_FLOW_CUT_OFF_MS * LC_US_PER_MS);
   lc_flow_agent_tick (&plane->agent, now_us);
@@ -524,7 +497,6 @@
   if (plane->has_agent)
     lc_flow_agent_finish (&plane->agent);
   lc_agent_held_finish (&plane->held);
-  lc_packet_hold_finish (&plane->early);
   plane->has_agent = false;
 }
 
@@ -557,7 +529,6 @@
     return;
   lc_flow_agent_set_view (&plane->agent, view, now_us);
   lc_agent_flow__note_evacuated (plane, view);
-  lc_agent_flow__take_early (plane, now_us);
   lc_agent_flow__send_messages (plane, now_us);
   lc_datagram_flush (&plane->port);
 }
--- a/src/agent/lc-agent-flow.h
+++ b/src/agent/lc-agent-flow.h
@@ -22,7 +22,6 @@
 
 #include "controller/lc-member.h"
 #include "core/flow/lc-flow-agent.h"
-#include "core/flow/lc-packet-hold.h"
 #include "io/lc-datagram.h"
 #include "io/lc-flow-log.h"
 #include "io/lc-flow-meter.h"
@@ -44,7 +43,6 @@
   bool has_outbound;
   LcAgentRelay relay;
   LcAgentInject inject;
-  LcPacketHold early;   /* envelopes that came before the endpoint is known here */
   LcAgentHeld held;     /* packets that wait for a free slot of the backend server */
   LcAgentHeld searched; /* packets whose owners are searched for, by place */
   LcTimer timer;
--- a/src/core/flow/lc-packet-hold.h
+++ b/src/core/flow/lc-packet-hold.h
@@ -1,11 +1,10 @@
-/* lc-packet-hold: packets that wait for the first view of a balancer or agent.
+/* lc-packet-hold: packets that wait for a balancer's first view.
  *
  * WHAT IT IS
- *   A process that has just started gets packets before it knows where they belong: routers notice
- *   a restart only after a second, and balancers have their views before the last agents.  It must
- *   not refuse them, since it knows nothing, and a caller whose packet is lost waits 200 ms or more
- *   for its copy.  So the newest packets are kept for the fraction of a second until the view
- *   comes, and go their way then.
+ *   A balancer that has just started gets packets before it knows where they belong: routers notice
+ *   a restart only after a second.  It must not refuse them, since it knows nothing, and a caller
+ *   whose first packet is lost waits 200 ms for its copy.  So the newest packets are kept for the
+ *   fraction of a second until the view comes, and are steered then.
  *
  * HOW TO USE IT
  *     LcPacketHold hold = { 0 };
--- a/tests/request/test_failures.py
+++ b/tests/request/test_failures.py
@@ -12,7 +12,6 @@
 
 PROGRAMS = {"agent": sys.argv.pop(1), "balancer": sys.argv.pop(1)}
 NET = "127.34"
-PACKET = 1  # LC_ENVELOPE_PACKET
 ASK = "/.well-known/lychee/requests/"
 
 
@@ -233,24 +232,6 @@
         self.assert_unknown(c.request(1, "POST", "/orders", key="k"), "k")
         self.assertEqual(c.request(1, "POST", "/orders", key="next")[0], 200)
 
-    # --- flows: packets that come before the agent's first view ---
-
-    def test_packets_before_the_view_are_kept(self):
-        """After a loss of all power they were dropped without a word, and their callers waited 1.6 s for the next copy."""
-        c = self.make(n_agents=1)
-        agent = c.agents[0]
-        agent.kill()
-        c.restart(0)  # the view has its earlier start only
-        envelope = bytes([0x4c, 0x46, 1, PACKET]) + b"cut short"
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as caller:
-            for _ in range(3):
-                caller.sendto(envelope, (agent.ip, agent.settings["flow_port"]))
-        until(lambda: agent.metric("lychee_flow_early_total") == 3, "the packets to be kept")
-        c.publish(c.endpoint(0, 2))
-        until(lambda: agent.events("flow.early-taken"), "the packets to be taken")
-        self.assertEqual([(line["held"], line["taken"]) for line in agent.events("flow.early-taken")], [(3, 3)])
-        until(lambda: agent.metric("lychee_flow_malformed_total") == 3, "the packets to be read")
-
     # --- connections between balancers and agents that are cut ---
 
     def test_cut_within_the_request(self):
