--- a/review/1/case.py
+++ b/review/1/case.py
@@ -92,8 +92,8 @@
 def judge(site, record, feeds, endpoints, changed_at):
     reset = [feed for feed in feeds if feed.flow.reset_at is not None]
     holders = {endpoint.id: endpoint for endpoint in endpoints}
-    held = [feed for feed in reset
-            if any(key[:2] == (feed.flow.client.address, feed.flow.sport) for key in holders[feed.owner].flows)]
+    held = [feed for feed in reset if feed.owner in holders
+            and any(key[:2] == (feed.flow.client.address, feed.flow.sport) for key in holders[feed.owner].flows)]
     ended = site.ended_by_themselves()
     record.say(f"answered {sum(len(feed.answered) for feed in feeds)} requests on {FEEDS} flows; without an answer: "
                f"{sum(len(feed.unanswered) for feed in feeds)}; packets that endpoints returned: "
--- a/review/standins.py
+++ b/review/standins.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import zlib
 
 ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..")
@@ -641,8 +642,9 @@
         site = Site(record)
         async with asyncio.timeout(limit_s):
             result = await play(site, record)
-    except (OSError, TimeoutError, AssertionError, asyncio.CancelledError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # whatever it is, it is no verdict
         record.say(f"the case could not run: {error!r}")
+        traceback.print_exc()
     finally:
         if site is not None:
             site.end(keep=result == 2)
