--- a/proto/lc-control.pb-c.c
+++ b/proto/lc-control.pb-c.c
@@ -2695,7 +2695,7 @@
   (ProtobufCMessageInit) lc__wire__intent__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__command_member__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lc__wire__command_member__field_descriptors[8] =
 {
   {
     "kind",
@@ -2781,11 +2781,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "expired_revision",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__CommandMember, expired_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__command_member__field_indices_by_name[] = {
   4,   /* field[4] = balancer */
   1,   /* field[1] = data_centre */
   3,   /* field[3] = endpoint */
+  7,   /* field[7] = expired_revision */
   0,   /* field[0] = kind */
   6,   /* field[6] = region */
   2,   /* field[2] = service */
@@ -2794,7 +2807,7 @@
 static const ProtobufCIntRange lc__wire__command_member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lc__wire__command_member__descriptor =
 {
@@ -2804,7 +2817,7 @@
   "Lc__Wire__CommandMember",
   "lc.wire",
   sizeof(Lc__Wire__CommandMember),
-  7,
+  8,
   lc__wire__command_member__field_descriptors,
   lc__wire__command_member__field_indices_by_name,
   1,  lc__wire__command_member__number_ranges,
--- a/proto/lc-control.pb-c.h
+++ b/proto/lc-control.pb-c.h
@@ -341,10 +341,14 @@
   Lc__Wire__Balancer *balancer;
   uint64_t settled_revision;
   char *region;
+  /*
+   * with settled_revision: no flow is left of moves of addresses up to it
+   */
+  uint64_t expired_revision;
 };
 #define LC__WIRE__COMMAND_MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__command_member__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, NULL, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, NULL, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Lc__Wire__NumberedDeclaration
--- a/proto/lc-view.pb-c.c
+++ b/proto/lc-view.pb-c.c
@@ -1077,7 +1077,7 @@
   (ProtobufCMessageInit) lc__wire__service__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__address__field_descriptors[5] =
+static const ProtobufCFieldDescriptor lc__wire__address__field_descriptors[7] =
 {
   {
     "ipv4",
@@ -1139,10 +1139,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "moved_revision",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__Address, moved_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "former",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lc__Wire__Address, n_former),
+    offsetof(Lc__Wire__Address, former),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__address__field_indices_by_name[] = {
+  6,   /* field[6] = former */
   4,   /* field[4] = homes */
   0,   /* field[0] = ipv4 */
+  5,   /* field[5] = moved_revision */
   1,   /* field[1] = port */
   2,   /* field[2] = protocol */
   3,   /* field[3] = service_id */
@@ -1150,7 +1176,7 @@
 static const ProtobufCIntRange lc__wire__address__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lc__wire__address__descriptor =
 {
@@ -1160,7 +1186,7 @@
   "Lc__Wire__Address",
   "lc.wire",
   sizeof(Lc__Wire__Address),
-  5,
+  7,
   lc__wire__address__field_descriptors,
   lc__wire__address__field_indices_by_name,
   1,  lc__wire__address__number_ranges,
--- a/proto/lc-view.pb-c.h
+++ b/proto/lc-view.pb-c.h
@@ -116,10 +116,19 @@
   uint32_t protocol;
   uint32_t service_id;
   char *homes;
+  /*
+   * of the newest former service; 0: none
+   */
+  uint64_t moved_revision;
+  /*
+   * services to which its new flows went before, newest first; 0: others
+   */
+  size_t n_former;
+  uint32_t *former;
 };
 #define LC__WIRE__ADDRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__address__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
 struct  Lc__Wire__Route
--- a/src/agent/lc-agent-flow-report.c
+++ b/src/agent/lc-agent-flow-report.c
@@ -81,6 +81,9 @@
                      "Packets that the backend server returned", NULL, &counts->returned_total);
   lc_flow_meter_add (meter, metrics, "lychee_flow_searched_total",
                      "Packets whose owner was searched for", NULL, &counts->searched_total);
+  lc_flow_meter_add (meter, metrics, "lychee_flow_other_service_total",
+                     "Searches that went on in another service", NULL,
+                     &plane->agent.counts.passed_total);
   lc_flow_meter_add (meter, metrics, "lychee_flow_asked_total",
                      "Messages to agents that may know the owners of flows", NULL,
                      &counts->queries_total);
--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -54,16 +54,22 @@
 
 /* === private: to the backend server ========================================================= */
 
-/* Sends the complete packet as a datagram's payload. */
+/* Sends the complete packet, with its mark, as a datagram's payload. */
 static void
-lc_agent_flow__send_to_backend (LcAgentFlow *plane, uint8_t *bytes, size_t len, uint32_t mark)
+lc_agent_flow__send_marked (LcAgentFlow *plane, const uint8_t *bytes, size_t len)
 {
   const LcSocketAddress *backend = &plane->desc.settings->backend_feed;
 
-  lc_packet_format_set_mark (lc_agent_flow__format (plane), bytes, mark);
   (void)lc_datagram_send (&plane->port, backend->ipv4, backend->port, bytes, len, NULL, 0);
 }
 
+static void
+lc_agent_flow__send_to_backend (LcAgentFlow *plane, uint8_t *bytes, size_t len, uint32_t mark)
+{
+  lc_packet_format_set_mark (lc_agent_flow__format (plane), bytes, mark);
+  lc_agent_flow__send_marked (plane, bytes, len);
+}
+
 static void
 lc_agent_flow__release_held (LcAgentFlow *plane, int64_t now_us)
 {
@@ -75,7 +81,7 @@
       lc_flow_packets_drop (&plane->held, held.flow);
     else
       while ((packet = lc_flow_packets_take (&plane->held, held.flow)) != NULL)
-        lc_agent_flow__send_to_backend (plane, packet->bytes, packet->len, LC_FLOW_MARK_NONE);
+        lc_agent_flow__send_marked (plane, packet->bytes, packet->len);
 }
 
 /* === private: messages ====================================================================== */
@@ -96,7 +102,10 @@
 
       for (uint32_t i = 0; kept != NULL && i < next.n; i++)
         {
-          lc_flow_return_fill_search_envelope (&plane->agent, &next.to[i], &envelope);
+          if (next.is_passed)
+            envelope = next.envelope;
+          else
+            lc_flow_return_fill_search_envelope (&plane->agent, &next.to[i], &envelope);
           (void)lc_datagram_send (&plane->port, next.to[i].ipv4, next.to[i].port, header,
                                   lc_envelope_encode (&envelope, header, sizeof header),
                                   kept->bytes, kept->len);
@@ -247,7 +256,8 @@
       lc_agent_flow__send_reset (plane, packet);
       break;
     case LC_FLOW_ACTION_HOLD:
-      (void)lc_flow_packets_put (&plane->held, action->hold_flow, bytes, packet->total_len);
+      lc_packet_format_set_mark (lc_agent_flow__format (plane), bytes, action->hold.mark);
+      (void)lc_flow_packets_put (&plane->held, action->hold.flow, bytes, packet->total_len);
       break;
     case LC_FLOW_ACTION_DROP:
       break;
--- a/src/control/lc-control-codec.c
+++ b/src/control/lc-control-codec.c
@@ -153,7 +153,10 @@
   m->service = (char *)change->service;
   m->region = (char *)change->region;
   if (change->kind == LC_MEMBER_SETTLED)
-    m->settled_revision = change->settled_revision;
+    {
+      m->settled_revision = change->settled_revision;
+      m->expired_revision = change->expired_revision;
+    }
   else if (change->kind <= LC_MEMBER_ENDPOINT_LOST)
     {
       m->endpoint = lc_codec__alloc (arena, 1, sizeof *m->endpoint);
@@ -179,6 +182,7 @@
   if (change->kind == LC_MEMBER_SETTLED)
     {
       change->settled_revision = m->settled_revision;
+      change->expired_revision = m->expired_revision;
       return true;
     }
   if (change->kind <= LC_MEMBER_ENDPOINT_LOST)
--- a/src/control/lc-control-settings.c
+++ b/src/control/lc-control-settings.c
@@ -134,6 +134,15 @@
     .default_u64 = 3000,
     .unit = "ms",
     .help = "a balancer not heard for this long is lost" },
+  { .path = "max_flow_s",
+    .kind = LC_SETTING_U32,
+    FIELD (max_flow_s),
+    .max = 604800,
+    .default_u64 = 0,
+    .unit = "s",
+    .help =
+        "no flow is older: former services of an address that was moved are dropped after twice "
+        "that time; 0: they are kept" },
   LC_SETTING_ROW_CONNECT_TIMEOUT (LcControlSettings),
   { .path = "drain_limit_ms",
     .kind = LC_SETTING_U32,
--- a/src/control/lc-control-settings.h
+++ b/src/control/lc-control-settings.h
@@ -37,6 +37,7 @@
   uint32_t snapshot_every_kb;
   uint32_t request_timeout_ms;
   uint32_t lease_ms;
+  uint32_t max_flow_s; /* greatest age of a flow; 0: no limit */
   uint32_t drain_limit_ms;
   uint32_t connect_timeout_ms;
 } LcControlSettings;
--- a/src/control/lc-distributor-duties.c
+++ b/src/control/lc-distributor-duties.c
@@ -112,6 +112,23 @@
     lc_distributor__expire_lost (d, value, now_us);
 }
 
+/* === private: former services of addresses ================================================== */
+
+/* Drops the former services that can hold no flow any more. */
+static void
+lc_distributor__expire_former (LcDistributor *d, int64_t now_us)
+{
+  LcMemberChange change = { .kind = LC_MEMBER_SETTLED };
+  int64_t max_flow_us = (int64_t)d->desc.max_flow_s * LC_US_PER_S;
+
+  change.expired_revision =
+      lc_former_expiry_check (&d->former_expiry, d->desc.view, max_flow_us, now_us);
+  if (change.expired_revision > 0)
+    lc_distributor__propose (d, &change, now_us);
+}
+
+/* === private: sweep ========================================================================= */
+
 /* Where all balancers are lost, none is left to report the endpoints.  The guard first held the
  * loss of the balancers, and holds that of the endpoints in turn. */
 void
@@ -122,6 +139,7 @@
   if (now_us - d->swept_us < LC_DISTRIBUTOR_SWEEP_MS * LC_US_PER_MS)
     return;
   d->swept_us = now_us;
+  lc_distributor__expire_former (d, now_us);
   lc_distributor__sweep_lost (d, now_us);
   for (guint i = 0; i < view->dcs->len; i++)
     {
--- a/src/control/lc-distributor-private.h
+++ b/src/control/lc-distributor-private.h
@@ -11,6 +11,7 @@
 
 #include "controller/lc-view-server.h"
 #include "core/member/lc-batch-pace.h"
+#include "core/member/lc-former-expiry.h"
 #include "core/member/lc-loss-guard.h"
 #include "core/member/lc-watch.h"
 
@@ -30,7 +31,8 @@
   int64_t seeded_us;
   int64_t settled_us;
   int64_t swept_us;
-  GHashTable *lost_since; /* endpoint id -> when this leader first saw it lost */
+  LcFormerExpiry former_expiry; /* on the leader */
+  GHashTable *lost_since;       /* endpoint id -> when this leader first saw it lost */
   bool was_leader;
   LcMetric *proposed_total;
   LcMetric *held_total;
--- a/src/control/lc-distributor-propose.c
+++ b/src/control/lc-distributor-propose.c
@@ -29,7 +29,8 @@
   char text[3 * LC_NAME_MAX];
 
   if (change->kind == LC_MEMBER_SETTLED)
-    (void)g_snprintf (text, sizeof text, "settled");
+    (void)g_snprintf (text, sizeof text, "%s",
+                      change->expired_revision != 0 ? "expired" : "settled");
   else
     (void)g_snprintf (text, sizeof text, "%d %s %" G_GINT64_MODIFIER "x", (int)change->kind,
                       lc_member_change_name (change), (guint64)lc_member_change_instance (change));
--- a/src/control/lc-distributor.c
+++ b/src/control/lc-distributor.c
@@ -236,6 +236,8 @@
 
   if (is_leader)
     d->led_us = now_us;
+  else
+    lc_former_expiry_reset (&d->former_expiry);
   if (is_leader && !d->was_leader)
     {
       g_ptr_array_set_size (d->watch.suspects, 0);
--- a/src/control/lc-distributor.h
+++ b/src/control/lc-distributor.h
@@ -31,8 +31,9 @@
 typedef struct
 {
   LcApp *app;
-  const LcView *view; /* of the applied state */
-  uint32_t lease_ms;  /* of balancers; 0: 3000 */
+  const LcView *view;  /* of the applied state */
+  uint32_t lease_ms;   /* of balancers; 0: 3000 */
+  uint32_t max_flow_s; /* greatest age of a flow; 0: no limit */
   void *user;
   /* Proposes at most LC_MEMBER_CHANGES_MAX changes as one log entry.  0: proposed or forwarded;
    * negative: not possible now, the distributor tries again. */
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -174,6 +174,7 @@
   LcDistributorDesc distributor = { .app = &p->app,
                                     .view = &p->replica.state.view,
                                     .lease_ms = p->settings.lease_ms,
+                                    .max_flow_s = p->settings.max_flow_s,
                                     .user = p,
                                     .propose = lc_control__propose,
                                     .is_leader = lc_control__is_leader,
--- a/src/core/control/lc-control-declare.c
+++ b/src/core/control/lc-control-declare.c
@@ -227,6 +227,11 @@
       a.port = d->port;
       a.protocol = d->protocol;
       a.service_id = id;
+      if (known != NULL) /* open flows may still belong to its former services */
+        {
+          a = *known;
+          memset (a.homes, 0, sizeof a.homes);
+        }
       (void)g_strlcpy (a.homes, d->homes, sizeof a.homes);
       if (known != NULL)
         lc_plan__add_op (builder, LC_VIEW_ADDRESS_REMOVED)->address = *known;
--- a/src/core/control/lc-control-member.c
+++ b/src/core/control/lc-control-member.c
@@ -330,6 +330,31 @@
     lc_control__emit (state, revision, &op);
 }
 
+/* Drops the former services of addresses that were last moved at or before `expired`.  Sorted, since
+ * the order of a hash table differs between replicas. */
+static void
+lc_control__expire_moves (LcControlState *state, LcRevision revision, LcRevision expired)
+{
+  GArray *moved = g_array_new (FALSE, FALSE, sizeof (LcAddress));
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, state->view.addresses);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((LcAddress *)value)->n_former > 0 && ((LcAddress *)value)->moved_revision <= expired)
+      g_array_append_vals (moved, value, 1);
+  g_array_sort (moved, lc_control__compare_addresses);
+  for (guint i = 0; i < moved->len; i++)
+    {
+      LcViewOp op = { .kind = LC_VIEW_ADDRESS };
+
+      op.address = g_array_index (moved, LcAddress, i);
+      lc_address_drop_former (&op.address);
+      lc_control__emit (state, revision, &op);
+    }
+  g_array_unref (moved);
+}
+
 void
 lc_control__apply_member (LcControlState *state, LcRevision revision, const LcMemberChange *change)
 {
@@ -353,7 +378,10 @@
       lc_control__change_balancer (state, revision, change);
       break;
     case LC_MEMBER_SETTLED:
-      lc_control__settle (state, revision, change->settled_revision);
+      if (change->settled_revision != 0 || change->expired_revision == 0)
+        lc_control__settle (state, revision, change->settled_revision);
+      if (change->expired_revision != 0)
+        lc_control__expire_moves (state, revision, change->expired_revision);
       break;
     }
 }
--- a/src/core/control/lc-control-numbered.c
+++ b/src/core/control/lc-control-numbered.c
@@ -62,11 +62,18 @@
 
   if (known == NULL || known->service_id != service_id || strcmp (known->homes, w->homes) != 0)
     {
+      if (known != NULL)
+        op.address = *known;
+      else
+        {
+          op.address.ipv4 = w->ipv4;
+          op.address.port = w->port;
+          op.address.protocol = w->protocol;
+          op.address.service_id = service_id;
+        }
       lc_control__remove_with_homes (state, revision, known);
-      op.address.ipv4 = w->ipv4;
-      op.address.port = w->port;
-      op.address.protocol = w->protocol;
-      op.address.service_id = service_id;
+      lc_address_move (&op.address, service_id, revision);
+      memset (op.address.homes, 0, sizeof op.address.homes);
       (void)g_strlcpy (op.address.homes, w->homes, sizeof op.address.homes);
       lc_control__emit (state, revision, &op);
       known = lc_view_address (&state->view, w->ipv4, w->port, (LcProtocol)w->protocol);
--- a/src/core/flow/lc-envelope.h
+++ b/src/core/flow/lc-envelope.h
@@ -10,6 +10,9 @@
  *     32 u32 target endpoint         36 u64 target instance
  *     44 u32 stray endpoint          48 u64 stray instance
  *     56 candidates: u32 id, u64 instance, u32 ipv4, u16 port
+ *   Version 2 is written when several services may hold the flow (lc-address.h), and goes on with:
+ *        u8 number of services, u8 flags (1: walked)
+ *        services: u32 id, u8 index of the first candidate, u8 flags (1: ruled out)
  *   Other datagrams of the flow plane have the first four bytes only, followed in those of kind
  *   LC_ENVELOPE_MESSAGE by a protobuf message.
  *
@@ -17,6 +20,12 @@
  *     size_t n = lc_envelope_encode (&envelope, buffer, sizeof buffer);
  *     int n = lc_envelope_decode (&envelope, bytes, len);   n > 0: the packet starts at n
  *
+ * SEVERAL SERVICES
+ *   The list has the homes of each service, one service after the other.  `service_id` is the one
+ *   of the agent that the packet is sent to.  A packet walks the whole list first, as a pointer at
+ *   one of the homes is cheaper than a search; then its owner is searched for in one service after
+ *   the other, and those without it are ruled out.
+ *
  * LIMITS
  *   Every forward lowers hops_left, so every packet ends after at most LC_ENVELOPE_HOPS.
  */
@@ -34,11 +43,16 @@
   {
     LC_ENVELOPE_MAGIC = 0x4c46,
     LC_ENVELOPE_VERSION = 1,
+    LC_ENVELOPE_VERSION_SERVICES = 2, /* of packets that several services may hold */
     LC_ENVELOPE_PREFIX_BYTES = 4,
     LC_ENVELOPE_FIXED_BYTES = 56,
     LC_ENVELOPE_CANDIDATE_BYTES = 18,
+    LC_ENVELOPE_SERVICES_MAX = 1 + LC_ADDRESS_FORMER_MAX,
+    LC_ENVELOPE_SERVICES_HEAD_BYTES = 2,
+    LC_ENVELOPE_SERVICE_BYTES = 6,
     LC_ENVELOPE_MAX_BYTES =
-        LC_ENVELOPE_FIXED_BYTES + (LC_CANDIDATES_MAX + 2) * LC_ENVELOPE_CANDIDATE_BYTES,
+        LC_ENVELOPE_FIXED_BYTES + (LC_CANDIDATES_MAX + 2) * LC_ENVELOPE_CANDIDATE_BYTES +
+        LC_ENVELOPE_SERVICES_HEAD_BYTES + LC_ENVELOPE_SERVICES_MAX * LC_ENVELOPE_SERVICE_BYTES,
     /* Most forwards of one packet: four passes over the longest list.  A pass starts again when an
      * agent has a newer view than the list, and returns once for each older assigner found. */
     LC_ENVELOPE_HOPS = 64,
@@ -83,6 +97,14 @@
     LC_N_DROP_REASONS
   } LcDropReason;
 
+  /* A service whose backend servers may hold the flow. */
+  typedef struct
+  {
+    LcServiceId id;    /* LC_ADDRESS_FORMER_OTHERS: not known which, no candidates */
+    uint8_t first;     /* index of its first candidate; the next service's follow */
+    bool is_ruled_out; /* none of its backend servers holds the flow */
+  } LcEnvelopeService;
+
   typedef struct
   {
     uint8_t mode;
@@ -100,6 +122,9 @@
     LcEndpointId stray_id; /* owner named by a stale pointer; FIND: the home that asks; 0: none */
     LcInstance stray_instance;
     LcCandidate candidates[LC_CANDIDATES_MAX + 2]; /* + 2: assigners that agents add */
+    uint8_t n_services;                            /* 0: `service_id` alone may hold the flow */
+    bool is_walked;                                /* no home of any service has the owner */
+    LcEnvelopeService services[LC_ENVELOPE_SERVICES_MAX];
   } LcEnvelope;
 
   /* Returns the bytes written, 0 if `size` is too small. */
@@ -107,6 +132,26 @@
   /* Returns the packet's offset, or LC_ERR_TRUNCATED, LC_ERR_CORRUPT, LC_ERR_VERSION. */
   int lc_envelope_decode (LcEnvelope *envelope, const uint8_t *bytes, size_t len);
 
+  /* Index of the service that the candidate belongs to; 0 if there is one service alone. */
+  uint8_t lc_envelope_service_of (const LcEnvelope *envelope, uint8_t candidate);
+  /* Index of the first candidate, and one more than that of the last, of the service of `hop`. */
+  uint8_t lc_envelope_service_first (const LcEnvelope *envelope);
+  uint8_t lc_envelope_service_end (const LcEnvelope *envelope);
+  /* Advances a walk to its next candidate; false: it ends here. */
+  bool lc_envelope_next_hop (LcEnvelope *envelope);
+
+  typedef enum
+  {
+    LC_ENVELOPE_SEARCH_SERVICE = 1,    /* `service_id`; `hop` is the last of its homes */
+    LC_ENVELOPE_SEARCH_DONE = 2,       /* no service holds the flow */
+    LC_ENVELOPE_SEARCH_IMPOSSIBLE = 3, /* a service that is not listed may hold it */
+  } LcEnvelopeSearch;
+
+  /* Selects the service in which a walked packet's owner is searched for next. */
+  LcEnvelopeSearch lc_envelope_next_search (LcEnvelope *envelope);
+  /* Records that no backend server of the service holds the flow. */
+  void lc_envelope_rule_out (LcEnvelope *envelope, LcServiceId id);
+
   void lc_envelope_encode_prefix (uint8_t *out, LcEnvelopeKind kind);
   /* Returns the LcEnvelopeKind, or the same errors. */
   int lc_envelope_kind (const uint8_t *bytes, size_t len);
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -197,6 +197,8 @@
     }
   a->resets = g_array_new (FALSE, FALSE, sizeof (LcPacket));
   a->found = g_array_new (FALSE, FALSE, sizeof (LcFlowFound));
+  a->envelopes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  a->passed = g_array_new (FALSE, FALSE, sizeof (LcFlowPassed));
   a->held = g_array_new (FALSE, FALSE, sizeof (LcFlowHeld));
   lc_flow_gate_init (&a->gate, &d->gate);
   lc_warmup_limit_init (&a->gate.cold, &d->cold, now_us);
@@ -221,6 +223,8 @@
   g_free (a->searches);
   g_array_unref (a->resets);
   g_array_unref (a->found);
+  g_hash_table_destroy (a->envelopes);
+  g_array_unref (a->passed);
   g_array_unref (a->held);
   lc_flow_gate_finish (&a->gate);
   memset (a, 0, sizeof *a);
--- a/src/core/flow/lc-flow-agent.h
+++ b/src/core/flow/lc-flow-agent.h
@@ -97,7 +97,7 @@
     LC_FLOW_ACTION_TRY = 4,    /* give it to the backend server with try_mark; no owner known */
     LC_FLOW_ACTION_SEARCH = 5, /* store it until its owner is found; try it here if is_local */
     LC_FLOW_ACTION_RESET = 6,  /* reset the caller: the flow can't be opened, for `reason` */
-    LC_FLOW_ACTION_HOLD = 7,   /* queue it for `hold_flow` until lc_flow_return_next_held */
+    LC_FLOW_ACTION_HOLD = 7,   /* queue it for `hold.flow` until lc_flow_return_next_held */
   } LcFlowActionKind;
 
   typedef struct
@@ -120,7 +120,11 @@
       } send;
       LcDropReason reason;
       uint32_t try_mark;
-      uint32_t hold_flow; /* index in the table */
+      struct
+      {
+        uint32_t flow; /* index in the table */
+        uint32_t mark; /* as in `deliver` */
+      } hold;
       struct
       {
         uint32_t slot; /* store the packet under it: lc_flow_finder_next_try */
@@ -146,7 +150,7 @@
   /* What to do with the packets held for a flow. */
   typedef struct
   {
-    uint32_t flow;    /* as in LcFlowAction.hold_flow */
+    uint32_t flow;    /* as in LcFlowAction.hold */
     bool is_released; /* deliver them now; false: drop them */
   } LcFlowHeld;
 
@@ -156,6 +160,12 @@
     LcCandidate owner;
   } LcFlowFound;
 
+  typedef struct
+  {
+    uint32_t slot;       /* LcFlowAction.search.slot */
+    LcEnvelope envelope; /* to its candidate `hop` */
+  } LcFlowPassed;
+
   typedef struct
   {
     uint64_t delivered_total;
@@ -170,7 +180,8 @@
     uint64_t messages_total;
     uint64_t returned_total; /* packets returned by the backend server */
     uint64_t searched_total; /* packets whose owner was searched for */
-    uint64_t unowned_total;  /* searches that found no owner */
+    uint64_t unowned_total;  /* searches that found no owner in any service */
+    uint64_t passed_total;   /* searches that went on in another service */
     uint64_t queries_total;  /* query messages of search rounds */
     uint64_t ejected_total;  /* times the backend server was ejected as an outlier */
     uint64_t dropped_total[LC_N_DROP_REASONS];
@@ -225,6 +236,8 @@
     LcFlowSearches *searches; /* owned; NULL without desc.returns_packets */
     GArray *resets;           /* LcPacket: of flows that no backend server holds */
     GArray *found;            /* LcFlowFound: stored packets to send to their owners */
+    GHashTable *envelopes;    /* search slot -> LcEnvelope, of packets that name several services */
+    GArray *passed;           /* LcFlowPassed: stored packets to send to another service */
     LcFlowAgentCounts counts;
   } LcFlowAgent;
 
--- a/src/core/flow/lc-flow-balancer.c
+++ b/src/core/flow/lc-flow-balancer.c
@@ -69,9 +69,12 @@
   address = lc_view_address (b->view, key->target_ipv4, key->target_port, key->protocol);
   if (address == NULL)
     return NULL;
-  *entry = (LcFlowBalancerEntry){ key->target_ipv4, key->target_port, key->protocol,
+  *entry = (LcFlowBalancerEntry){ key->target_ipv4,
+                                  key->target_port,
+                                  key->protocol,
                                   lc_view_home_regions (b->view, address->homes),
-                                  lc_flow_balancer__get_sets (b, address->service_id) };
+                                  lc_flow_balancer__get_sets (b, address->service_id),
+                                  address };
   return entry;
 }
 
@@ -226,20 +229,87 @@
   return true;
 }
 
+/* The homes in one service whose backend servers return packets, or any of its endpoints. */
 static bool
-lc_flow_balancer__fill_list (const LcFlowBalancer *b,
+lc_flow_balancer__fill_service (const LcFlowBalancer *b,
+                                const LcCandidateSets *sets,
+                                uint64_t key_hash,
+                                LcRegionMask regions,
+                                LcEnvelope *e)
+{
+  bool is_filled = lc_envelope__fill_local (e, sets, key_hash, regions, b->dc);
+
+  return lc_envelope__begin_list (e, sets, is_filled) ||
+         lc_flow_balancer__fill_any_endpoint (b, sets->service_id, key_hash, e);
+}
+
+/* Appends the homes of a service that the flow may have been opened at. */
+static void
+lc_flow_balancer__append_service (LcEnvelope *e, const LcEnvelope *part)
+{
+  LcEnvelopeService service = { .id = part->service_id, .first = e->n };
+
+  if (e->n == 0)
+    *e = *part;
+  else
+    {
+      memcpy (&e->candidates[e->n], part->candidates, part->n * sizeof part->candidates[0]);
+      e->n = (uint8_t)(e->n + part->n);
+    }
+  e->services[e->n_services++] = service;
+}
+
+/* Lists the homes of the address's service, then those of its former ones.  The regions of an
+ * address are a rule for new flows, which former services get none of. */
+static bool
+lc_flow_balancer__fill_services (LcFlowBalancer *b,
+                                 const LcFlowBalancerEntry *target,
+                                 uint64_t key_hash,
+                                 LcEnvelope *e)
+{
+  const LcAddress *address = target->address;
+  LcEnvelope empty = *e;
+  bool has_others = false;
+
+  e->n = 0;
+  for (int i = -1; i < address->n_former; i++)
+    {
+      LcServiceId id = i < 0 ? address->service_id : address->former[i];
+      LcRegionMask regions = i < 0 ? target->regions : LC_REGIONS_ALL;
+      LcEnvelope part = empty;
+
+      if (id == LC_ADDRESS_FORMER_OTHERS)
+        has_others = true;
+      else if (lc_flow_balancer__fill_service (b, lc_flow_balancer__get_sets (b, id), key_hash,
+                                               regions, &part))
+        lc_flow_balancer__append_service (e, &part);
+    }
+  if (e->n == 0)
+    return false;
+  if (has_others)
+    {
+      e->services[e->n_services] =
+          (LcEnvelopeService){ .id = LC_ADDRESS_FORMER_OTHERS, .first = e->n };
+      e->n_services++;
+    }
+  if (e->n_services == 1)
+    e->n_services = 0;
+  return true;
+}
+
+static bool
+lc_flow_balancer__fill_list (LcFlowBalancer *b,
                              const LcFlowBalancerEntry *target,
-                             uint64_t key_hash,
+                             const LcPacket *packet,
                              LcEnvelope *e)
 {
-  const LcCandidateSets *sets = target->sets;
+  uint64_t key_hash = lc_flow_key_hash (&packet->key);
 
   if (!b->is_returning)
-    return lc_envelope_fill (e, sets, key_hash, target->regions);
-  if (lc_envelope__begin_list (e, sets,
-                               lc_envelope__fill_local (e, sets, key_hash, target->regions, b->dc)))
-    return true;
-  return lc_flow_balancer__fill_any_endpoint (b, sets->service_id, key_hash, e);
+    return lc_envelope_fill (e, target->sets, key_hash, target->regions);
+  if (target->address->n_former > 0 && !packet->may_open)
+    return lc_flow_balancer__fill_services (b, target, key_hash, e);
+  return lc_flow_balancer__fill_service (b, target->sets, key_hash, target->regions, e);
 }
 
 int
@@ -258,7 +328,9 @@
   e->stray_instance = 0;
   e->hop = 0;
   e->assigner = 0;
-  if (!lc_flow_balancer__fill_list (b, target, lc_flow_key_hash (key), e))
+  e->n_services = 0;
+  e->is_walked = false;
+  if (!lc_flow_balancer__fill_list (b, target, packet, e))
     return -LC_DROP_NO_ENDPOINT;
   if (b->is_cut_off && !b->is_returning)
     lc_flow_balancer__add_detour (b, target->sets, e);
--- a/src/core/flow/lc-flow-balancer.h
+++ b/src/core/flow/lc-flow-balancer.h
@@ -4,6 +4,10 @@
  *   Computes, from a caller's packet and the view, the envelope and the agent to send it to.  It
  *   caches the compiled candidate sets of each service and keeps no state per flow.
  *
+ *   A first packet goes to the service of its address.  Where backend servers return packets, the
+ *   list of another packet has the homes of the address's former services too (lc-address.h): its
+ *   flow may have been opened before the address was moved.
+ *
  * HOW TO USE IT
  *     lc_flow_balancer_init (&balancer, dc);
  *     lc_flow_balancer_set_view (&balancer, view);       after each change of the view
@@ -39,6 +43,7 @@
     uint8_t protocol;
     LcRegionMask regions;        /* to which its new flows are kept */
     const LcCandidateSets *sets; /* NULL: empty */
+    const LcAddress *address;    /* in the view */
   } LcFlowBalancerEntry;
 
   typedef struct
--- a/src/core/flow/lc-flow-finder.c
+++ b/src/core/flow/lc-flow-finder.c
@@ -104,18 +104,48 @@
 
 /* === private: the searcher ================================================================== */
 
+/* Ends a search that found no owner in this service: it goes on in the next service that may hold
+ * the flow, or the caller gets a reset. */
 static void
-lc_flow_finder__queue_resets (LcFlowAgent *a)
+lc_flow_finder__end_unowned (LcFlowAgent *a, const LcFlowUnowned *unowned)
 {
-  LcPacket packet;
+  gpointer slot = GUINT_TO_POINTER (unowned->slot);
+  LcEnvelope *e = g_hash_table_lookup (a->envelopes, slot);
+  LcFlowPassed passed = { .slot = unowned->slot };
+  LcEnvelopeSearch next = LC_ENVELOPE_SEARCH_DONE;
 
-  while (lc_flow_search_next_unowned (a->searches, &packet))
+  if (e != NULL)
     {
+      lc_envelope_rule_out (e, a->desc.service_id);
+      next = lc_envelope_next_search (e);
+      passed.envelope = *e;
+      (void)g_hash_table_remove (a->envelopes, slot);
+    }
+  switch (next)
+    {
+    case LC_ENVELOPE_SEARCH_SERVICE:
+      a->counts.passed_total++;
+      g_array_append_val (a->passed, passed);
+      break;
+    case LC_ENVELOPE_SEARCH_DONE:
       a->counts.unowned_total++;
-      g_array_append_val (a->resets, packet);
+      g_array_append_val (a->resets, unowned->packet);
+      break;
+    case LC_ENVELOPE_SEARCH_IMPOSSIBLE:
+      (void)lc_flow_agent__drop (a, LC_DROP_NO_OWNER);
+      break;
     }
 }
 
+static void
+lc_flow_finder__end_all_unowned (LcFlowAgent *a)
+{
+  LcFlowUnowned unowned;
+
+  while (lc_flow_search_next_unowned (a->searches, &unowned))
+    lc_flow_finder__end_unowned (a, &unowned);
+}
+
 static void
 lc_flow_finder__query_member (LcFlowAgent *a,
                               const LcFlowRound *round,
@@ -232,6 +262,10 @@
   const LcCandidate *searcher =
       lc_flow_finder__is_direct (a) ? NULL : lc_flow_finder__choose_searcher (a, packet, now_us);
 
+  if (lc_envelope_next_search (e) != LC_ENVELOPE_SEARCH_SERVICE)
+    return lc_flow_agent__drop (a, LC_DROP_NO_OWNER);
+  if (e->service_id != a->desc.service_id)
+    return lc_flow_agent__send (a, e, LC_MODE_WALK, &e->candidates[e->hop]);
   if (searcher == NULL || lc_candidate_equal (searcher, &a->desc.self))
     return lc_flow_finder_search (a, e, packet, now_us);
   e->stray_id = a->desc.self.id; /* the home that gets the owner */
@@ -264,12 +298,24 @@
   return search;
 }
 
+/* Stores the envelope, if it names other services in which the search may have to go on. */
+static void
+lc_flow_finder__store_envelope (LcFlowAgent *a, const LcEnvelope *e, uint32_t slot)
+{
+  gpointer key = GUINT_TO_POINTER (slot);
+
+  if (e->n_services > 0)
+    (void)g_hash_table_insert (a->envelopes, key, g_memdup2 (e, sizeof *e));
+  else
+    (void)g_hash_table_remove (a->envelopes, key);
+}
+
 /* Sends the packet also to homes of the balancer's view that are not in the view here: they may
  * hold the flow. */
 static void
 lc_flow_finder__send_to_unknown (LcFlowAgent *a, const LcEnvelope *e, uint32_t slot)
 {
-  for (uint32_t i = 0; i < e->n; i++)
+  for (uint32_t i = lc_envelope_service_first (e); i < lc_envelope_service_end (e); i++)
     {
       LcFlowFound unknown = { slot, e->candidates[i] };
 
@@ -287,10 +333,11 @@
 
   search->home = e->mode == LC_MODE_FIND ? e->stray_id : 0;
   action.search.slot = lc_flow_search_slot_of (a->searches, search);
+  lc_flow_finder__store_envelope (a, e, action.search.slot);
   action.search.is_local = !knows_all;
   lc_flow_finder__send_to_unknown (a, e, action.search.slot);
   lc_flow_finder__send_rounds (a, now_us);
-  lc_flow_finder__queue_resets (a);
+  lc_flow_finder__end_all_unowned (a);
   return action;
 }
 
@@ -301,8 +348,9 @@
   LcFlowAction action = { .kind = LC_FLOW_ACTION_SEARCH };
 
   action.search.slot = lc_flow_search_slot_of (a->searches, search);
+  (void)g_hash_table_remove (a->envelopes, GUINT_TO_POINTER (action.search.slot));
   lc_flow_finder__send_rounds (a, now_us);
-  lc_flow_finder__queue_resets (a);
+  lc_flow_finder__end_all_unowned (a);
   return action;
 }
 
@@ -315,18 +363,41 @@
   if (packet->mark == a->desc.self.id)
     {
       lc_flow_search_rule_out (a->searches, &packet->key, &self, a->roster, now_us);
-      lc_flow_finder__queue_resets (a);
+      lc_flow_finder__end_all_unowned (a);
     }
   else if (peer != NULL)
     lc_flow_pointers_add_entry (a, LC_FLOW_NOT_HELD, &peer->agent)->key = packet->key;
   return lc_flow_agent__drop (a, LC_DROP_NO_OWNER);
 }
 
+/* A packet that goes on to another service: false: none, or it has no hops left. */
+static bool
+lc_flow_finder__next_passed (LcFlowAgent *a, LcFlowTry *next)
+{
+  while (a->passed->len > 0)
+    {
+      LcFlowPassed passed = g_array_index (a->passed, LcFlowPassed, a->passed->len - 1);
+      LcEnvelope *e = &passed.envelope;
+      LcCandidate to = e->candidates[e->hop];
+
+      g_array_set_size (a->passed, a->passed->len - 1);
+      if (lc_flow_agent__send (a, e, LC_MODE_WALK, &to).kind != LC_FLOW_ACTION_SEND)
+        continue;
+      *next = (LcFlowTry){ .slot = passed.slot, .n = 1, .to = { to }, .is_passed = true };
+      next->envelope = *e;
+      return true;
+    }
+  return false;
+}
+
 bool
 lc_flow_finder_next_try (LcFlowAgent *a, int64_t now_us, LcFlowTry *next)
 {
   LcEndpointId ids[LC_FLOW_SEARCH_TARGETS_MAX];
 
+  if (lc_flow_finder__next_passed (a, next))
+    return true;
+  next->is_passed = false;
   if (a->found->len > 0)
     {
       LcFlowFound *found = &g_array_index (a->found, LcFlowFound, a->found->len - 1);
@@ -391,7 +462,7 @@
   for (uint32_t i = 0; i < m->n; i++)
     lc_flow_search_rule_out (a->searches, &m->entries[i].key, &sender,
                              lc_flow_finder__sender_roster (a, m), now_us);
-  lc_flow_finder__queue_resets (a);
+  lc_flow_finder__end_all_unowned (a);
 }
 
 void
@@ -442,7 +513,7 @@
                                   lc_flow_finder__sender_roster (a, m), now_us);
   else
     lc_flow_search_record_incomplete (a->searches, m->round, &sender);
-  lc_flow_finder__queue_resets (a);
+  lc_flow_finder__end_all_unowned (a);
 }
 
 /* === public: time =========================================================================== */
@@ -462,7 +533,7 @@
     }
   if (!lc_flow_searches_has_members (a->searches, members, n, a->roster))
     lc_flow_searches_set_members (a->searches, members, n, a->roster);
-  lc_flow_finder__queue_resets (a);
+  lc_flow_finder__end_all_unowned (a);
   g_free (members);
 }
 
--- a/src/core/flow/lc-flow-finder.h
+++ b/src/core/flow/lc-flow-finder.h
@@ -16,6 +16,10 @@
  *   searcher of a flow rotates each LC_FLOW_FINDER_ROTATION_US, so that one that does not respond
  *   costs one copy of a packet.
  *
+ * SEVERAL SERVICES
+ *   If the envelope names several services that may hold the flow, a search that finds no owner in
+ *   one passes the packet to a home of the next, and the last one resets the caller.
+ *
  * COMPLETE KNOWLEDGE
  *   An agent has all flows of its backend server in its table when that one started after it
  *   (LcFlowAgentDesc.is_backend_fresh), or when it has run for an idle timeout: every live flow has
@@ -56,6 +60,8 @@
     uint32_t slot; /* LcFlowAction.search.slot */
     uint32_t n;
     LcCandidate to[LC_FLOW_SEARCH_TARGETS_MAX];
+    bool is_passed;      /* `envelope` is set: the search goes on in another service */
+    LcEnvelope envelope; /* else that of lc_flow_return_fill_search_envelope */
   } LcFlowTry;
 
   /* Handles the end of a walk without an owner: searches here or forwards to the searcher. */
--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -57,7 +57,16 @@
   return age_ms;
 }
 
-/* Sets the mark: the remaining hops of a first packet, which come back if it is returned. */
+/* The mark of a packet for the own backend server: the remaining hops of a first packet, which come
+ * back if it is returned. */
+static uint32_t
+lc_flow_return__mark_of (const LcEnvelope *e, const LcPacket *packet)
+{
+  if (packet->may_open)
+    return e->hops_left;
+  return e->n_services > 0 ? LC_FLOW_MARK_SERVICES : LC_FLOW_MARK_NONE;
+}
+
 static LcFlowAction
 lc_flow_return__set_mark (LcFlowAgent *a,
                           LcFlowAction action,
@@ -67,7 +76,7 @@
 {
   if (action.kind != LC_FLOW_ACTION_DELIVER)
     return action;
-  action.deliver.mark = packet->may_open ? e->hops_left : LC_FLOW_MARK_NONE;
+  action.deliver.mark = lc_flow_return__mark_of (e, packet);
   if (action.deliver.is_new)
     {
       LcFlow *f = &a->table.flows[action.deliver.flow];
@@ -172,7 +181,7 @@
 lc_flow_return__refresh_homes (LcFlowAgent *a, LcFlow *f, const LcEnvelope *e)
 {
   bool is_detour = e->mode == LC_MODE_SEARCH || e->mode == LC_MODE_FIND ||
-                   (e->mode == LC_MODE_WALK && e->hop > 0);
+                   (e->mode == LC_MODE_WALK && e->hop > lc_envelope_service_first (e));
 
   if (e->dc != 0 && e->dc != f->dc)
     {
@@ -252,9 +261,8 @@
         a, e, packet->may_open && !known.is_confirmed ? LC_MODE_OPEN : LC_MODE_OWNER, &known.other);
   if (packet->may_open)
     return lc_flow_return__assign (a, e, f, packet, now_us);
-  if (e->hop + 1 >= e->n)
+  if (!lc_envelope_next_hop (e))
     return lc_flow_finder_end_walk (a, e, packet, now_us);
-  e->hop++;
   return lc_flow_agent__send (a, e, LC_MODE_WALK, &e->candidates[e->hop]);
 }
 
@@ -300,7 +308,8 @@
       lc_flow_return__refresh_homes (a, f, e);
       if (lc_flow_return__must_wait (a, f, packet, now_us))
         return (LcFlowAction){ .kind = LC_FLOW_ACTION_HOLD,
-                               .hold_flow = lc_flow_table_index (&a->table, f) };
+                               .hold = { .flow = lc_flow_table_index (&a->table, f),
+                                         .mark = lc_flow_return__mark_of (e, packet) } };
       return lc_flow_return__set_mark (a, lc_flow_agent__deliver (a, f, packet, false, now_us), e,
                                        packet, now_us);
     }
@@ -312,6 +321,8 @@
     case LC_MODE_OWNER:
       if (packet->may_open)
         return lc_flow_return__accept_or_refuse (a, e, f, packet, now_us);
+      if (e->n_services > 0)
+        return lc_flow_finder_search (a, e, packet, now_us);
       return lc_flow_return__try (LC_FLOW_MARK_NONE);
     case LC_MODE_ASSIGN:
     case LC_MODE_REFUSED:
@@ -355,6 +366,22 @@
     lc_flow_agent__record_failure (a, now_us);
 }
 
+static LcFlowAction
+lc_flow_return__search_returned (LcFlowAgent *a, const LcPacket *packet, int64_t now_us)
+{
+  switch (packet->mark)
+    {
+    case LC_FLOW_MARK_NONE:
+      return lc_flow_finder_search_returned (a, packet, now_us);
+    case LC_FLOW_MARK_SERVICES:
+      /* Which services is not known here.  The entry is gone, so that a retransmission, whose
+       * envelope names them, does not end here again. */
+      return lc_flow_agent__drop (a, LC_DROP_NO_OWNER);
+    default:
+      return lc_flow_finder_report_denial (a, packet, now_us);
+    }
+}
+
 LcFlowAction
 lc_flow_return_handle_returned (LcFlowAgent *a,
                                 LcEnvelope *e,
@@ -365,8 +392,7 @@
   lc_flow_return__disown (
       a, lc_flow_table_find (&a->table, &packet->key, lc_flow_key_hash (&packet->key)));
   if (!packet->may_open)
-    return packet->mark != LC_FLOW_MARK_NONE ? lc_flow_finder_report_denial (a, packet, now_us)
-                                             : lc_flow_finder_search_returned (a, packet, now_us);
+    return lc_flow_return__search_returned (a, packet, now_us);
   lc_flow_return__record_refusal (a, now_us);
   if (packet->mark <= LC_FLOW_RETURN_HOPS || packet->mark > LC_ENVELOPE_HOPS)
     return lc_flow_return__reset_or_drop (lc_flow_agent__drop (a, LC_DROP_LIMIT), packet);
--- a/src/core/flow/lc-flow-return.h
+++ b/src/core/flow/lc-flow-return.h
@@ -11,6 +11,8 @@
  *       endpoint;
  *     - when a search has accounted for every backend server without finding an owner, the caller
  *       gets a reset, so that it does not wait for its time limit;
+ *     - if the envelope names several services, the packet walks the homes of each, and the caller
+ *       gets a reset only after a search in each of them;
  *     - a response of the backend server proves that it holds the flow: the agent then owns it and
  *       registers it with the homes.
  *   Two endpoints that both accept copies of a first packet do no harm: the caller goes on with one
@@ -35,12 +37,10 @@
 {
 #endif
 
-  /* LcPacket.mark of packets that are not first ones: 0, or the endpoint id of the searcher, which
-   * is notified when the packet is returned. */
-  enum
-  {
-    LC_FLOW_MARK_NONE = 0,
-  };
+  /* LcPacket.mark of packets that are not first ones: one of these, or the endpoint id of the
+   * searcher, which is notified when the packet is returned. */
+#define LC_FLOW_MARK_NONE 0U
+#define LC_FLOW_MARK_SERVICES UINT32_MAX /* other services may hold the flow */
 
   /* As lc_flow_agent_handle_packet. */
   LcFlowAction lc_flow_return_steer (LcFlowAgent *agent,
--- a/src/core/flow/lc-flow-search.c
+++ b/src/core/flow/lc-flow-search.c
@@ -138,10 +138,13 @@
 static void
 lc_flow_search__end_if_unowned (LcFlowSearches *s, LcFlowSearch *search)
 {
+  LcFlowUnowned unowned;
+
   if (!search->is_used || search->newest_roster > s->membership ||
       !lc_flow_search__has_all (s, &search->ruled_out))
     return;
-  g_array_append_val (s->unowned, search->packet);
+  unowned = (LcFlowUnowned){ search->packet, lc_flow_search_slot_of (s, search) };
+  g_array_append_val (s->unowned, unowned);
   lc_flow_search__end (s, search);
 }
 
@@ -230,7 +233,7 @@
   memset (s, 0, sizeof *s);
   s->last_round = (uint32_t)now_us;
   s->round_us = now_us - LC_FLOW_ROUND_INTERVAL_US;
-  s->unowned = g_array_new (FALSE, FALSE, sizeof (LcPacket));
+  s->unowned = g_array_new (FALSE, FALSE, sizeof (LcFlowUnowned));
 }
 
 void
@@ -502,11 +505,11 @@
 }
 
 bool
-lc_flow_search_next_unowned (LcFlowSearches *s, LcPacket *packet)
+lc_flow_search_next_unowned (LcFlowSearches *s, LcFlowUnowned *unowned)
 {
   if (s->unowned->len == 0)
     return false;
-  *packet = g_array_index (s->unowned, LcPacket, s->unowned->len - 1);
+  *unowned = g_array_index (s->unowned, LcFlowUnowned, s->unowned->len - 1);
   g_array_set_size (s->unowned, s->unowned->len - 1);
   return true;
 }
--- a/src/core/flow/lc-flow-search.h
+++ b/src/core/flow/lc-flow-search.h
@@ -22,8 +22,8 @@
  *     while ((round = lc_flow_search_next_round (&searches, now_us)) != NULL)
  *       send round->keys to each member i with lc_flow_search_is_unanswered (round, i)
  *     lc_flow_search_record_answer (&searches, round_id, &member, its_membership, now_us);
- *     while (lc_flow_search_next_unowned (&searches, &packet))
- *       no backend server holds the flow of `packet`
+ *     while (lc_flow_search_next_unowned (&searches, &unowned))
+ *       no backend server holds the flow of `unowned.packet`
  *     lc_flow_searches_finish (&searches);
  *
  * LIFETIME
@@ -114,6 +114,13 @@
     LcFlowMemberSet answered;
   } LcFlowRound;
 
+  /* A search that has ruled out every member. */
+  typedef struct
+  {
+    LcPacket packet; /* the flow's newest */
+    uint32_t slot;   /* that the search had */
+  } LcFlowUnowned;
+
   typedef struct
   {
     LcFlowSearchMember *members; /* owned; sorted by id */
@@ -127,7 +134,7 @@
     uint32_t n_unqueried;      /* searches that are in no round yet */
     uint64_t expired_total;    /* searches that timed out on a silent member */
     LcFlowSearchMember silent; /* such a member of the last of these searches */
-    GArray *unowned;           /* LcPacket: of flows without an owner */
+    GArray *unowned;           /* LcFlowUnowned */
   } LcFlowSearches;
 
   /* Round ids start from the time, so that answers to an earlier process match none. */
@@ -193,8 +200,8 @@
                                          uint32_t round,
                                          const LcFlowSearchMember *member);
 
-  /* Next flow that no backend server holds, by its newest packet; false: none. */
-  bool lc_flow_search_next_unowned (LcFlowSearches *searches, LcPacket *packet);
+  /* Next flow that no backend server holds; false: none. */
+  bool lc_flow_search_next_unowned (LcFlowSearches *searches, LcFlowUnowned *unowned);
 
 #ifdef __cplusplus
 }
--- a/src/core/lc-view.h
+++ b/src/core/lc-view.h
@@ -37,6 +37,7 @@
 #ifndef LC_VIEW_H
 #define LC_VIEW_H
 
+#include "lc-address.h"
 #include "lc-error.h"
 #include "lc-home-regions.h"
 #include "lc-types.h"
@@ -118,16 +119,6 @@
     uint32_t n_former;
   } LcService;
 
-  /* Where packets arrive: (address, port, protocol) belongs to one service. */
-  typedef struct
-  {
-    uint32_t ipv4;
-    uint16_t port;
-    uint8_t protocol; /* LcProtocol */
-    LcServiceId service_id;
-    char homes[LC_HOME_REGIONS_BYTES]; /* regions to which new flows are restricted; "": all */
-  } LcAddress;
-
   /* Where requests arrive.  A matching host wins over host "" (any), then the longest path prefix
    * wins. */
   typedef struct
--- a/src/core/member/lc-member-change.h
+++ b/src/core/member/lc-member-change.h
@@ -27,7 +27,7 @@
   LC_MEMBER_BALANCER_LEAVING = 7,
   LC_MEMBER_BALANCER_GONE = 8,
   LC_MEMBER_BALANCER_LOST = 9,
-  LC_MEMBER_SETTLED = 10, /* uses settled_revision */
+  LC_MEMBER_SETTLED = 10, /* uses settled_revision and expired_revision */
 } LcMemberChangeKind;
 
 enum
@@ -45,7 +45,11 @@
   {
     LcEndpoint endpoint;
     LcBalancer balancer;
-    LcRevision settled_revision;
+    struct
+    {
+      LcRevision settled_revision; /* lc-settle.h; 0: nothing new */
+      LcRevision expired_revision; /* lc-former-expiry.h; 0: nothing new */
+    };
   };
 } LcMemberChange;
 
--- a/src/io/lc-wire-view.c
+++ b/src/io/lc-wire-view.c
@@ -104,6 +104,9 @@
   w->address.protocol = a->protocol;
   w->address.service_id = a->service_id;
   w->address.homes = (char *)a->homes;
+  w->address.moved_revision = a->moved_revision;
+  w->address.former = w->source.address.former;
+  w->address.n_former = a->n_former;
   w->op.address = &w->address;
   w->op.body_case = LC__WIRE__VIEW_OP__BODY_ADDRESS;
 }
@@ -314,6 +317,14 @@
   address->port = (uint16_t)message->port;
   address->protocol = (uint8_t)message->protocol;
   address->service_id = message->service_id;
+  if (message->n_former > LC_ADDRESS_FORMER_MAX)
+    return lc_error_set (error, LC_ERR_INVALID, "run the same version on both sides",
+                         "an address of %zu former services; %d at most", message->n_former,
+                         LC_ADDRESS_FORMER_MAX);
+  address->moved_revision = message->moved_revision;
+  address->n_former = (uint8_t)message->n_former;
+  for (size_t i = 0; i < message->n_former; i++)
+    address->former[i] = message->former[i];
   return lc_wire_view__copy (address->homes, sizeof address->homes, message->homes, error);
 }
 
--- a/tests/flow/prop-flow-return.cc
+++ b/tests/flow/prop-flow-return.cc
@@ -23,7 +23,9 @@
   SHOW_AGENT,
   SHOW_BALANCER,
   SETTLE,
-  N_KINDS
+  N_KINDS,
+  MOVE = N_KINDS, /* the address, to another service */
+  N_KINDS_WITH_MOVES
 };
 
 /* Endpoints; enough for searches in rounds. */
@@ -77,11 +79,17 @@
     RC_ASSERT (delivered (w) > before);
 }
 
-/* A search in rounds takes copies of the packet and time. */
+bool
+has_services (const RwWorld &w)
+{
+  return w.nodes[w.n_agents - 1].service_id != 1;
+}
+
+/* A search in rounds, or in one service after the other, takes copies of the packet and time. */
 void
 check_reached (RwWorld &w, uint32_t flow)
 {
-  if (w.n_agents > N_LARGE)
+  if (w.n_agents > N_LARGE || has_services (w))
     send_copies (w, flow);
   else
     send_data (w, flow);
@@ -126,6 +134,9 @@
       rw_put_endpoint (&w, node, LC_ENDPOINT_ACTIVE);
       rw_show_view (&w);
       break;
+    case MOVE:
+      rw_move_address (&w, w.nodes[node].service_id);
+      break;
     case SHOW_AGENT:
       rw_show_agent (&w, node);
       break;
@@ -178,5 +189,23 @@
     check_order (w, order);
     rw_stop (&w);
   });
+  ok &= rc::check ("the same where the address is moved between three services", [] {
+    const auto order = *steps (N_KINDS_WITH_MOVES);
+    RwWorld w;
+
+    rw_start_services (&w, 9, 3, true);
+    w.idle_us = 20 * LC_US_PER_S;
+    check_order (w, order);
+    rw_stop (&w);
+  });
+  ok &= rc::check ("the same where the services are large", [] {
+    const auto order = *steps (N_KINDS_WITH_MOVES);
+    RwWorld w;
+
+    rw_start_services (&w, N_LARGE, 2, true);
+    w.idle_us = 20 * LC_US_PER_S;
+    check_order (w, order);
+    rw_stop (&w);
+  });
   return ok ? 0 : 1;
 }
--- a/tests/flow/prop-flow-work.cc
+++ b/tests/flow/prop-flow-work.cc
@@ -161,7 +161,7 @@
   e.candidates[0] = w.agent.desc.self;
   action = lc_flow_agent_handle_packet (&w.agent, &e, &p, w.now_us);
   if (action.kind == LC_FLOW_ACTION_HOLD)
-    w.held.insert (action.hold_flow);
+    w.held.insert (action.hold.flow);
   return action;
 }
 
--- a/tests/flow/return-world.c
+++ b/tests/flow/return-world.c
@@ -36,7 +36,7 @@
   LcViewOp op = { .kind = LC_VIEW_ENDPOINT };
 
   op.endpoint.id = (LcEndpointId)(i + 1);
-  op.endpoint.service_id = 1;
+  op.endpoint.service_id = w->nodes[i].service_id;
   op.endpoint.instance = (LcInstance)(100 + i);
   op.endpoint.state = (uint8_t)state;
   op.endpoint.dc = w->nodes[i].dc;
@@ -148,7 +148,7 @@
 {
   LcFlowAgentDesc desc = { .self = { (LcEndpointId)(i + 1), (uint32_t)i, (LcInstance)(100 + i),
                                      7100 },
-                           .service_id = 1,
+                           .service_id = w->nodes[i].service_id,
                            .tcp_idle_us = w->idle_us,
                            .is_backend_fresh = is_fresh,
                            .returns_packets = true };
@@ -173,12 +173,35 @@
 }
 
 void
-rw_start_sized (RwWorld *w, int n, int n_agents, bool is_fresh)
+rw_move_address (RwWorld *w, LcServiceId service_id)
+{
+  LcViewOp op = { .kind = LC_VIEW_ADDRESS };
+
+  op.address = *lc_view_address (&w->view, 0xc6120001, 443, LC_PROTOCOL_TCP);
+  lc_address_move (&op.address, service_id, w->revision + 1);
+  rw_apply (w, &op);
+}
+
+static void
+rw_open_services (RwWorld *w, int n_services)
 {
-  LcViewOp service = { .kind = LC_VIEW_SERVICE,
-                       .service = { .id = 1, .name = "desk", .returns_packets = true } };
   LcViewOp address = { .kind = LC_VIEW_ADDRESS };
 
+  for (int id = 1; id <= n_services; id++)
+    {
+      LcViewOp service = { .kind = LC_VIEW_SERVICE,
+                           .service = { .id = (LcServiceId)id, .returns_packets = true } };
+
+      (void)g_snprintf (service.service.name, sizeof service.service.name, "desk%.0d", id - 1);
+      rw_apply (w, &service);
+    }
+  address.address = (LcAddress){ 0xc6120001, 443, LC_PROTOCOL_TCP, 1 };
+  rw_apply (w, &address);
+}
+
+static void
+rw_start_all (RwWorld *w, int n, int n_agents, int n_services, bool is_fresh)
+{
   memset (w, 0, sizeof *w);
   w->n_agents = n_agents;
   w->max_steps = RW_MAX_STEPS + 2 * (uint32_t)n_agents;
@@ -188,9 +211,9 @@
   lc_view_init (&w->balancer_view);
   for (int i = 0; i < w->n_agents; i++)
     lc_view_init (&w->seen[i]);
-  rw_apply (w, &service);
-  address.address = (LcAddress){ 0xc6120001, 443, LC_PROTOCOL_TCP, 1 };
-  rw_apply (w, &address);
+  for (int i = 0; i < n_agents; i++)
+    w->nodes[i].service_id = (LcServiceId)(1 + i * n_services / n_agents);
+  rw_open_services (w, n_services);
   for (int i = 0; i < n; i++)
     rw_put_endpoint (w, i, LC_ENDPOINT_ACTIVE);
   lc_flow_balancer_init (&w->balancer, 0);
@@ -200,6 +223,18 @@
   rw_show_view (w);
 }
 
+void
+rw_start_sized (RwWorld *w, int n, int n_agents, bool is_fresh)
+{
+  rw_start_all (w, n, n_agents, 1, is_fresh);
+}
+
+void
+rw_start_services (RwWorld *w, int n_agents, int n_services, bool is_fresh)
+{
+  rw_start_all (w, n_agents, n_agents, n_services, is_fresh);
+}
+
 void
 rw_stop (RwWorld *w)
 {
@@ -306,7 +341,10 @@
         LcPacket kept = w->nodes[at].kept[next.slot];
         LcEnvelope e;
 
-        lc_flow_return_fill_search_envelope (&w->nodes[at].agent, &next.to[i], &e);
+        if (next.is_passed)
+          e = next.envelope;
+        else
+          lc_flow_return_fill_search_envelope (&w->nodes[at].agent, &next.to[i], &e);
         rw_arrive (w, (int)next.to[i].ipv4, e, &kept);
       }
 }
--- a/tests/flow/return-world.h
+++ b/tests/flow/return-world.h
@@ -25,6 +25,7 @@
   typedef struct
   {
     LcFlowAgent agent;
+    LcServiceId service_id;
     bool is_up;
     bool is_dead;    /* its backend server drops every packet */
     bool is_full;    /* returns first packets */
@@ -80,6 +81,11 @@
   /* The same with `n_agents` agents, of which `n` are in the view; `is_fresh`: their backend
    * servers started after them. */
   void rw_start_sized (RwWorld *w, int n, int n_agents, bool is_fresh);
+  /* The same with several services: node i is in service 1 + i * n_services / n_agents.  The address
+   * belongs to service 1. */
+  void rw_start_services (RwWorld *w, int n_agents, int n_services, bool is_fresh);
+  /* Moves the address to a service, in the newest view only, until it is shown. */
+  void rw_move_address (RwWorld *w, LcServiceId service_id);
   void rw_stop (RwWorld *w);
   uint32_t rw_n_held (const RwWorld *w, uint32_t flow);
   /* Advances the time, ticks each agent and delivers messages until there are none. */
--- a/tests/flow/test-flow-return.c
+++ b/tests/flow/test-flow-return.c
@@ -441,7 +441,7 @@
   };
   LcFlowSearches searches;
   LcPacket p = rw_packet_of (7, false);
-  LcPacket out;
+  LcFlowUnowned out;
 
   for (size_t i = 0; i < G_N_ELEMENTS (CASES); i++)
     {
@@ -473,7 +473,7 @@
   static const LcFlowSearchMember AFTER[] = { { 1, 11 }, { 2, 99 } };
   LcFlowSearches searches;
   LcPacket p = rw_packet_of (7, false);
-  LcPacket out;
+  LcFlowUnowned out;
 
   lc_flow_searches_init (&searches, 0);
   lc_flow_searches_set_members (&searches, BEFORE, 2, 5);
