--- a/proto/lc-control.pb-c.c
+++ b/proto/lc-control.pb-c.c
@@ -2372,7 +2372,7 @@
   (ProtobufCMessageInit) lc__wire__declared_dc__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__declared_service__field_descriptors[11] =
+static const ProtobufCFieldDescriptor lc__wire__declared_service__field_descriptors[12] =
 {
   {
     "name",
@@ -2506,12 +2506,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "idle_timeout_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__DeclaredService, idle_timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__declared_service__field_indices_by_name[] = {
   7,   /* field[7] = addresses */
   3,   /* field[3] = caller_limit */
   10,   /* field[10] = cold_rate_mrps */
   1,   /* field[1] = fields */
+  11,   /* field[11] = idle_timeout_ms */
   0,   /* field[0] = name */
   6,   /* field[6] = objective_latency_ms */
   5,   /* field[5] = objective_ppm */
@@ -2523,7 +2536,7 @@
 static const ProtobufCIntRange lc__wire__declared_service__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor lc__wire__declared_service__descriptor =
 {
@@ -2533,7 +2546,7 @@
   "Lc__Wire__DeclaredService",
   "lc.wire",
   sizeof(Lc__Wire__DeclaredService),
-  11,
+  12,
   lc__wire__declared_service__field_descriptors,
   lc__wire__declared_service__field_indices_by_name,
   1,  lc__wire__declared_service__number_ranges,
--- a/proto/lc-control.pb-c.h
+++ b/proto/lc-control.pb-c.h
@@ -304,10 +304,11 @@
   Lc__Wire__DeclaredRoute **routes;
   protobuf_c_boolean returns_packets;
   uint32_t cold_rate_mrps;
+  uint32_t idle_timeout_ms;
 };
 #define LC__WIRE__DECLARED_SERVICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__declared_service__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Lc__Wire__Intent
@@ -342,7 +343,7 @@
   uint64_t settled_revision;
   char *region;
   /*
-   * with settled_revision: no flow is left of moves of addresses up to it
+   * with settled_revision: no flow is left of changes up to it
    */
   uint64_t expired_revision;
 };
--- a/proto/lc-view.pb-c.c
+++ b/proto/lc-view.pb-c.c
@@ -909,7 +909,7 @@
   (ProtobufCMessageInit) lc__wire__endpoint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lc__wire__service__field_descriptors[11] =
+static const ProtobufCFieldDescriptor lc__wire__service__field_descriptors[14] =
 {
   {
     "id",
@@ -1043,11 +1043,50 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "idle_timeout_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__Service, idle_timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "former_idle_timeout_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__Service, former_idle_timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idle_revision",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lc__Wire__Service, idle_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lc__wire__service__field_indices_by_name[] = {
   4,   /* field[4] = caller_limit */
   9,   /* field[9] = cold_rate_mrps */
+  12,   /* field[12] = former_idle_timeout_ms */
   0,   /* field[0] = id */
+  13,   /* field[13] = idle_revision */
+  11,   /* field[11] = idle_timeout_ms */
   2,   /* field[2] = membership_revision */
   1,   /* field[1] = name */
   7,   /* field[7] = objective_latency_ms */
@@ -1060,7 +1099,7 @@
 static const ProtobufCIntRange lc__wire__service__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor lc__wire__service__descriptor =
 {
@@ -1070,7 +1109,7 @@
   "Lc__Wire__Service",
   "lc.wire",
   sizeof(Lc__Wire__Service),
-  11,
+  14,
   lc__wire__service__field_descriptors,
   lc__wire__service__field_indices_by_name,
   1,  lc__wire__service__number_ranges,
--- a/proto/lc-view.pb-c.h
+++ b/proto/lc-view.pb-c.h
@@ -102,10 +102,22 @@
   protobuf_c_boolean returns_packets;
   uint32_t cold_rate_mrps;
   uint64_t roster_revision;
+  /*
+   * 0: that of the agents' settings
+   */
+  uint32_t idle_timeout_ms;
+  /*
+   * greatest one before, if it was longer
+   */
+  uint32_t former_idle_timeout_ms;
+  /*
+   * of the last change of idle_timeout_ms
+   */
+  uint64_t idle_revision;
 };
 #define LC__WIRE__SERVICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lc__wire__service__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Lc__Wire__Address
--- a/src/control/lc-control-codec.c
+++ b/src/control/lc-control-codec.c
@@ -20,6 +20,7 @@
   m->objective_latency_ms = s->objective_latency_ms;
   m->cold_rate_mrps = s->cold_rate_mrps;
   m->returns_packets = s->returns_packets;
+  m->idle_timeout_ms = s->idle_timeout_ms;
   m->n_addresses = s->n_addresses;
   m->addresses = lc_codec__alloc_pointers (arena, s->n_addresses);
   for (uint32_t i = 0; i < s->n_addresses; i++)
@@ -94,6 +95,7 @@
   s->objective_latency_ms = m->objective_latency_ms;
   s->cold_rate_mrps = m->cold_rate_mrps;
   s->returns_packets = m->returns_packets;
+  s->idle_timeout_ms = m->idle_timeout_ms;
   s->n_addresses = (uint32_t)m->n_addresses;
   s->addresses = g_new0 (LcDeclaredAddress, m->n_addresses);
   for (size_t i = 0; i < m->n_addresses; i++)
--- a/src/control/lc-control-settings.c
+++ b/src/control/lc-control-settings.c
@@ -140,9 +140,8 @@
     .max = 604800,
     .default_u64 = 0,
     .unit = "s",
-    .help =
-        "no flow is older: former services of an address that was moved are dropped after twice "
-        "that time; 0: they are kept" },
+    .help = "no flow is older: former services of a moved address and former idle timeouts are "
+            "dropped after twice that time; 0: they are kept" },
   LC_SETTING_ROW_CONNECT_TIMEOUT (LcControlSettings),
   { .path = "drain_limit_ms",
     .kind = LC_SETTING_U32,
--- a/src/control/lc-distributor-duties.c
+++ b/src/control/lc-distributor-duties.c
@@ -112,9 +112,9 @@
     lc_distributor__expire_lost (d, value, now_us);
 }
 
-/* === private: former services of addresses ================================================== */
+/* === private: former settings =============================================================== */
 
-/* Drops the former services that can hold no flow any more. */
+/* Drops the former services and idle timeouts that apply to no flow any more. */
 static void
 lc_distributor__expire_former (LcDistributor *d, int64_t now_us)
 {
--- a/src/core/control/lc-control-declare.c
+++ b/src/core/control/lc-control-declare.c
@@ -321,11 +321,7 @@
   has_changed = lc_plan__set_limits (builder, w, is_whole, &s);
   if (known == NULL || has_changed)
     {
-      /* The operation carries only the settings: the lists are owned by the view. */
-      s.endpoints = NULL;
-      s.n_endpoints = 0;
-      s.former = NULL;
-      s.n_former = 0;
+      lc_control__detach_members (&s);
       lc_plan__add_op (builder, LC_VIEW_SERVICE)->service = s;
     }
   return s.id;
--- a/src/core/control/lc-control-member.c
+++ b/src/core/control/lc-control-member.c
@@ -355,6 +355,27 @@
   g_array_unref (moved);
 }
 
+/* Drops the former idle timeouts of services that changed theirs at or before `expired`. */
+static void
+lc_control__expire_idle_timeouts (LcControlState *state, LcRevision revision, LcRevision expired)
+{
+  GPtrArray *services = lc_control_state_services (state);
+
+  for (guint i = 0; i < services->len; i++)
+    {
+      const LcService *s = g_ptr_array_index (services, i);
+      LcViewOp op = { .kind = LC_VIEW_SERVICE };
+
+      if (s->former_idle_timeout_ms == 0 || s->idle_revision > expired)
+        continue;
+      op.service = *s;
+      lc_control__detach_members (&op.service);
+      op.service.former_idle_timeout_ms = 0;
+      lc_control__emit (state, revision, &op);
+    }
+  g_ptr_array_unref (services);
+}
+
 void
 lc_control__apply_member (LcControlState *state, LcRevision revision, const LcMemberChange *change)
 {
@@ -381,7 +402,10 @@
       if (change->settled_revision != 0 || change->expired_revision == 0)
         lc_control__settle (state, revision, change->settled_revision);
       if (change->expired_revision != 0)
-        lc_control__expire_moves (state, revision, change->expired_revision);
+        {
+          lc_control__expire_moves (state, revision, change->expired_revision);
+          lc_control__expire_idle_timeouts (state, revision, change->expired_revision);
+        }
       break;
     }
 }
--- a/src/core/control/lc-control-numbered.c
+++ b/src/core/control/lc-control-numbered.c
@@ -4,6 +4,20 @@
 
 /* === private: services and addresses ======================================================== */
 
+/* A flow that is idle since before the change keeps the longer timeout: processes that start later
+ * find it with the service. */
+static void
+lc_control__set_idle_timeout (LcService *s, uint32_t timeout_ms, LcRevision revision)
+{
+  uint32_t before_ms = lc_service_longest_idle_ms (s);
+
+  if (s->idle_timeout_ms == timeout_ms)
+    return;
+  s->idle_timeout_ms = timeout_ms;
+  s->former_idle_timeout_ms = before_ms > timeout_ms ? before_ms : 0;
+  s->idle_revision = revision;
+}
+
 static LcServiceId
 lc_control__upsert_service (LcControlState *state, LcRevision revision, const LcDeclaredService *w)
 {
@@ -12,16 +26,13 @@
 
   if (known != NULL && known->request_timeout_ms == w->request_timeout_ms &&
       known->objective_latency_ms == w->objective_latency_ms &&
-      known->cold_rate_mrps == w->cold_rate_mrps && known->returns_packets == w->returns_packets)
+      known->cold_rate_mrps == w->cold_rate_mrps && known->returns_packets == w->returns_packets &&
+      known->idle_timeout_ms == w->idle_timeout_ms)
     return known->id;
   if (known != NULL)
     {
       op.service = *known;
-      /* The operation carries only the settings: the lists are owned by the view. */
-      op.service.endpoints = NULL;
-      op.service.n_endpoints = 0;
-      op.service.former = NULL;
-      op.service.n_former = 0;
+      lc_control__detach_members (&op.service);
     }
   else
     {
@@ -32,6 +43,7 @@
   op.service.objective_latency_ms = w->objective_latency_ms;
   op.service.cold_rate_mrps = w->cold_rate_mrps;
   op.service.returns_packets = w->returns_packets;
+  lc_control__set_idle_timeout (&op.service, w->idle_timeout_ms, revision);
   lc_control__emit (state, revision, &op);
   return op.service.id;
 }
--- a/src/core/control/lc-control-private.h
+++ b/src/core/control/lc-control-private.h
@@ -9,6 +9,17 @@
 /* The endpoint state that follows from its record and its data centre. */
 LcEndpointState
 lc_control__endpoint_state (const LcControlState *state, const LcEndpointRecord *record, LcDcId dc);
+/* Leaves a copied service with its settings alone, as an operation carries them: the lists are owned
+ * by the view. */
+static inline void
+lc_control__detach_members (LcService *s)
+{
+  s->endpoints = NULL;
+  s->n_endpoints = 0;
+  s->former = NULL;
+  s->n_former = 0;
+}
+
 /* lc-control-member.c */
 void
 lc_control__apply_member (LcControlState *state, LcRevision revision, const LcMemberChange *change);
--- a/src/core/control/lc-intent.h
+++ b/src/core/control/lc-intent.h
@@ -32,6 +32,7 @@
   {
     LC_DECLARATION_MAX = 8192,
     LC_INTENT_TIMEOUT_MS_MAX = 3600000, /* one hour; timeouts and latency objectives */
+    LC_INTENT_IDLE_MS_MAX = 604800000,  /* one week; longer idle timeouts of flows are cut to it */
     LC_INTENT_MILLI = 1000,
     LC_INTENT_COLD_RATE_MRPS_MAX = 1000000 * LC_INTENT_MILLI,
   };
@@ -93,6 +94,7 @@
     uint32_t objective_latency_ms;
     uint32_t cold_rate_mrps;
     bool returns_packets;
+    uint32_t idle_timeout_ms; /* of numbered declarations (lc-numbered.h); 0: not set */
     LcDeclaredAddress *addresses;
     uint32_t n_addresses;
     LcDeclaredRoute *routes;
--- a/src/core/flow/lc-flow-agent-packet.c
+++ b/src/core/flow/lc-flow-agent-packet.c
@@ -129,7 +129,8 @@
 static int64_t
 lc_flow_agent__idle_us (const LcFlowAgent *a, const LcFlowKey *key)
 {
-  return key->protocol == LC_PROTOCOL_TCP ? a->desc.tcp_idle_us : a->desc.udp_idle_us;
+  return key->protocol == LC_PROTOCOL_TCP ? lc_flow_agent__tcp_idle_us (a)
+                                          : MAX (a->desc.udp_idle_us, a->service_idle_us);
 }
 
 /* === private: sending on ==================================================================== */
--- a/src/core/flow/lc-flow-agent-private.h
+++ b/src/core/flow/lc-flow-agent-private.h
@@ -14,6 +14,13 @@
 {
 #endif
 
+  /* How long an idle TCP flow is kept. */
+  static inline int64_t
+  lc_flow_agent__tcp_idle_us (const LcFlowAgent *agent)
+  {
+    return MAX (agent->desc.tcp_idle_us, agent->service_idle_us);
+  }
+
   /* Removes the flow's request from the gate (answered, abandoned or moved); packets held for it
    * are dropped. */
   void lc_flow_agent__end_request (LcFlowAgent *agent, LcFlow *flow);
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -137,6 +137,33 @@
   lc_warmup_limit_set_rate (&a->first_packets, service != NULL ? service->cold_rate_mrps : 0);
 }
 
+/* Flows that are kept stay for the longer time.  Others were idle for the former one: the table is
+ * complete again when they have been idle for the longer one. */
+static void
+lc_flow_agent__extend_idle (LcFlowAgent *a, int64_t former_us, int64_t more_us, int64_t now_us)
+{
+  for (uint32_t i = 0; i < a->table.capacity; i++)
+    {
+      LcFlow *f = &a->table.flows[i];
+
+      if (f->kind == LC_FLOW_OWNED && (f->flags & LC_FLOW_ENDED) == 0)
+        f->expiry_tick += lc_flow_tick (more_us);
+    }
+  if (now_us < a->complete_from_us || now_us - a->started_us >= former_us)
+    a->complete_from_us = MAX (a->complete_from_us, now_us) + more_us;
+}
+
+static void
+lc_flow_agent__set_service_idle (LcFlowAgent *a, const LcService *service, int64_t now_us)
+{
+  int64_t idle_ms = service != NULL ? lc_service_longest_idle_ms (service) : 0;
+  int64_t former_us = lc_flow_agent__tcp_idle_us (a);
+
+  a->service_idle_us = idle_ms != 0 ? idle_ms * LC_US_PER_MS + LC_FLOW_IDLE_SLACK_US : 0;
+  if (lc_flow_agent__tcp_idle_us (a) > former_us)
+    lc_flow_agent__extend_idle (a, former_us, lc_flow_agent__tcp_idle_us (a) - former_us, now_us);
+}
+
 /* Digest of each address and its home regions; independent of the order of the addresses. */
 static uint64_t
 lc_flow_agent__digest_home_regions (const LcView *view)
@@ -189,6 +216,7 @@
   lc_flow_table_init (&a->table, d->max_flows, now_us);
   lc_assign_init (&a->assign, &d->assign);
   a->outbox = g_queue_new ();
+  a->started_us = now_us;
   a->complete_from_us = d->is_backend_fresh ? now_us : now_us + d->tcp_idle_us;
   if (d->returns_packets)
     {
@@ -248,6 +276,7 @@
   lc_flow_agent__update_sets_version (a, view);
   lc_flow_pointers_update_homes (a);
   lc_flow_agent__set_service_limits (a, service);
+  lc_flow_agent__set_service_idle (a, service, now_us);
   if (a->searches != NULL)
     lc_flow_finder_update_members (a, now_us);
 }
--- a/src/core/flow/lc-flow-agent.h
+++ b/src/core/flow/lc-flow-agent.h
@@ -55,6 +55,9 @@
 #define LC_FLOW_PENDING_US (5 * LC_US_PER_S)
 #define LC_FLOW_LINGER_US LC_US_PER_S
 #define LC_FLOW_SETTLE_US LC_US_PER_S
+/* A flow is kept longer than its service's idle timeout: the packet that ends its pause may take
+ * its time, or get lost and be retransmitted. */
+#define LC_FLOW_IDLE_SLACK_US (5 * LC_US_PER_S)
 
   typedef struct
   {
@@ -62,8 +65,8 @@
     LcServiceId service_id;
     uint32_t connection_limit;    /* 0: 2000 */
     uint32_t max_flows;           /* table entries of every kind; 0: 4 million */
-    int64_t udp_idle_us;          /* 0: 300 s */
-    int64_t tcp_idle_us;          /* 0: 2 h */
+    int64_t udp_idle_us;          /* 0: 300 s; raised to the service's idle timeout */
+    int64_t tcp_idle_us;          /* 0: 2 h; the same */
     int64_t refresh_us;           /* 0: 60 s; pointers expire after 3.5 times this */
     int64_t load_interval_us;     /* 0: 500 ms */
     int64_t load_min_interval_us; /* between reports of a changed load; 0: a tick */
@@ -223,6 +226,8 @@
     uint32_t n_ticks;
     uint32_t next_try_slot; /* next search slot to check for packets to send */
     int64_t next_load_us;
+    int64_t started_us;
+    int64_t service_idle_us;  /* idle timeout of the service, with the slack; 0: not set */
     int64_t complete_from_us; /* from then on the table has every flow of its backend server */
     int64_t last_busy_us;     /* last time a flow was owned or assigned to another agent */
     uint32_t next_load_peer;  /* peer index at which the next load report begins */
--- a/src/core/flow/lc-flow-finder.c
+++ b/src/core/flow/lc-flow-finder.c
@@ -327,7 +327,8 @@
 LcFlowAction
 lc_flow_finder_search (LcFlowAgent *a, const LcEnvelope *e, const LcPacket *packet, int64_t now_us)
 {
-  bool knows_all = lc_flow_finder_knowledge (a, now_us) == LC_FLOW_COVERAGE_FULL;
+  bool is_behind = e->revision > a->view->revision; /* the idle timeout may have changed */
+  bool knows_all = !is_behind && lc_flow_finder_knowledge (a, now_us) == LC_FLOW_COVERAGE_FULL;
   LcFlowSearch *search = lc_flow_finder__begin (a, packet, knows_all, now_us);
   LcFlowAction action = { .kind = LC_FLOW_ACTION_SEARCH };
 
@@ -487,6 +488,17 @@
   g_array_append_val (a->found, found);
 }
 
+/* Whether the sender has every flow of its backend server that may be open.  One without the last
+ * change of the idle timeout may have discarded flows that are no longer idle for too long. */
+static bool
+lc_flow_finder__is_conclusive (const LcFlowAgent *a, const LcFlowMessage *m)
+{
+  const LcService *service = a->view != NULL ? lc_view_service (a->view, a->desc.service_id) : NULL;
+  LcRevision idle_revision = service != NULL ? service->idle_revision : 0;
+
+  return m->load.coverage == LC_FLOW_COVERAGE_FULL && m->load.revision >= idle_revision;
+}
+
 void
 lc_flow_finder_handle_answer (LcFlowAgent *a, const LcFlowMessage *m, int64_t now_us)
 {
@@ -508,7 +520,7 @@
           lc_candidate_equal (&owner, &m->load.agent))
         lc_flow_finder__end_found (a, &e->key, &owner);
     }
-  if (m->load.coverage == LC_FLOW_COVERAGE_FULL)
+  if (lc_flow_finder__is_conclusive (a, m))
     lc_flow_search_record_answer (a->searches, m->round, &sender,
                                   lc_flow_finder__sender_roster (a, m), now_us);
   else
--- a/src/core/flow/lc-flow-finder.h
+++ b/src/core/flow/lc-flow-finder.h
@@ -23,7 +23,8 @@
  * COMPLETE KNOWLEDGE
  *   An agent has all flows of its backend server in its table when that one started after it
  *   (LcFlowAgentDesc.is_backend_fresh), or when it has run for an idle timeout: every live flow has
- *   passed by since.  Its answer is conclusive.  Otherwise the packet itself is sent to the backend
+ *   passed by since.  Its answer is conclusive, unless its view is older than the service's last
+ *   change of the idle timeout.  Otherwise the packet itself is sent to the backend
  *   server, which returns it if it does not hold the flow.
  *
  * HOW TO USE IT
--- a/src/core/flow/lc-flow-pointers.c
+++ b/src/core/flow/lc-flow-pointers.c
@@ -234,7 +234,7 @@
   /* A backend server that returns packets may still hold the flow: the entry stays, so that a
    * search tries it (lc-flow-finder.h). */
   if (a->desc.returns_packets && (f->flags & LC_FLOW_ANSWERED) != 0)
-    lc_flow_table_set_deadline (&a->table, f, now_us + a->desc.tcp_idle_us);
+    lc_flow_table_set_deadline (&a->table, f, now_us + lc_flow_agent__tcp_idle_us (a));
   else
     lc_flow_table_remove (&a->table, f);
 }
--- a/src/core/lc-view.c
+++ b/src/core/lc-view.c
@@ -312,6 +312,9 @@
   s->objective_ppm = service->objective_ppm;
   s->objective_latency_ms = service->objective_latency_ms;
   s->cold_rate_mrps = service->cold_rate_mrps;
+  s->idle_timeout_ms = service->idle_timeout_ms;
+  s->former_idle_timeout_ms = service->former_idle_timeout_ms;
+  s->idle_revision = service->idle_revision;
   s->returns_packets = service->returns_packets;
   if (s->returns_packets)
     {
--- a/src/core/lc-view.h
+++ b/src/core/lc-view.h
@@ -112,6 +112,10 @@
     uint32_t objective_latency_ms;  /* maximum latency of a good request; 0: 500 */
     uint32_t cold_rate_mrps; /* a cold endpoint's maximum, in 1/1000 request/s; 0: by its slots */
     bool returns_packets;    /* backend servers return packets of flows they lack: no former sets */
+    uint32_t idle_timeout_ms; /* an idle flow may be discarded after it; 0: not set */
+    uint32_t
+        former_idle_timeout_ms; /* the longest before, for flows that are idle since; 0: none */
+    LcRevision idle_revision;   /* of the last change of idle_timeout_ms; 0: none */
 
     LcEndpoint *endpoints; /* owned; every state, ordered by id */
     uint32_t n_endpoints;
@@ -223,6 +227,13 @@
   const LcRoute *lc_view_route (
       const LcView *view, const char *host, size_t host_len, const char *path, size_t path_len);
 
+  /* The longest time for which a flow may have been idle and be open; 0: not set. */
+  static inline uint32_t
+  lc_service_longest_idle_ms (const LcService *s)
+  {
+    return MAX (s->idle_timeout_ms, s->former_idle_timeout_ms);
+  }
+
   /* Whether an endpoint accepts new work. */
   static inline bool
   lc_endpoint_is_candidate (const LcEndpoint *e)
--- a/src/core/member/lc-former-expiry.c
+++ b/src/core/member/lc-former-expiry.c
@@ -1,5 +1,22 @@
 #include "lc-former-expiry.h"
 
+static bool
+lc_former_expiry__has_idle_timeouts (const LcView *view, LcRevision until)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, view->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const LcService *s = value;
+
+      if (s->former_idle_timeout_ms != 0 && s->idle_revision <= until)
+        return true;
+    }
+  return false;
+}
+
 static bool
 lc_former_expiry__has_moves (const LcView *view, LcRevision until)
 {
@@ -32,5 +49,8 @@
     return 0;
   e->revision = view->revision;
   e->since_us = now_us;
-  return expired != 0 && lc_former_expiry__has_moves (view, expired) ? expired : 0;
+  if (expired == 0 || (!lc_former_expiry__has_moves (view, expired) &&
+                       !lc_former_expiry__has_idle_timeouts (view, expired)))
+    return 0;
+  return expired;
 }
--- a/src/core/member/lc-former-expiry.h
+++ b/src/core/member/lc-former-expiry.h
@@ -1,14 +1,15 @@
-/* lc-former-expiry: computes when the former services of moved addresses hold no flow any more.
+/* lc-former-expiry: computes when no flow is left to which a former setting applies.
  *
  * WHAT IT IS
  *   A former service of an address (lc-address.h) matters until the last flow that was opened there
- *   has ended.  Flows are opened there until every balancer has the move, and live for `max_flow_us`
- *   at most.  The leader of control checks periodically: once a revision has been in its view for
- *   twice that time, moves at or before it have expired.  Twice, since a balancer that is cut off
- *   from control goes on with the view that it has.
+ *   has ended, a former idle timeout of a service until the last flow has ended that was idle under
+ *   it.  Flows are opened under a former setting until every balancer has the change, and live for
+ *   `max_flow_us` at most.  The leader of control checks periodically: once a revision has been in
+ *   its view for twice that time, changes at or before it have expired.  Twice, since a balancer
+ *   that is cut off from control goes on with the view that it has.
  *
  *   The time is the leader's monotonic clock and starts anew with each leader, so neither a step of
- *   the wall clock nor a change of leaders makes a move expire early.
+ *   the wall clock nor a change of leaders makes a change expire early.
  *
  * HOW TO USE IT
  *     LcFormerExpiry expiry = { 0 };
@@ -37,8 +38,8 @@
   } LcFormerExpiry;
 
   void lc_former_expiry_reset (LcFormerExpiry *expiry);
-  /* The newest revision up to which moves have expired, if that concerns an address; 0: none.
-   * `max_flow_us` 0: flows have no greatest age, and no move expires. */
+  /* The newest revision up to which changes have expired, if that concerns an address or a service;
+   * 0: none.  `max_flow_us` 0: flows have no greatest age, and nothing expires. */
   LcRevision lc_former_expiry_check (LcFormerExpiry *expiry,
                                      const LcView *view,
                                      int64_t max_flow_us,
--- a/src/io/lc-wire-view.c
+++ b/src/io/lc-wire-view.c
@@ -70,6 +70,9 @@
   w->service.objective_latency_ms = s->objective_latency_ms;
   w->service.cold_rate_mrps = s->cold_rate_mrps;
   w->service.returns_packets = s->returns_packets;
+  w->service.idle_timeout_ms = s->idle_timeout_ms;
+  w->service.former_idle_timeout_ms = s->former_idle_timeout_ms;
+  w->service.idle_revision = s->idle_revision;
   w->op.service = &w->service;
   w->op.body_case = LC__WIRE__VIEW_OP__BODY_SERVICE;
 }
@@ -294,6 +297,9 @@
   s->objective_latency_ms = message->objective_latency_ms;
   s->cold_rate_mrps = message->cold_rate_mrps;
   s->returns_packets = message->returns_packets;
+  s->idle_timeout_ms = message->idle_timeout_ms;
+  s->former_idle_timeout_ms = message->former_idle_timeout_ms;
+  s->idle_revision = message->idle_revision;
   return lc_wire_view__copy (s->name, sizeof s->name, message->name, error);
 }
 
--- a/tests/adapter/test-declaration.c
+++ b/tests/adapter/test-declaration.c
@@ -212,6 +212,49 @@
 }
 END_TEST
 
+/* The idle timeout of flows applies to every service; one of a wrong type is an error that names it. */
+START_TEST (test_idle_timeouts)
+{
+  static const struct
+  {
+    const char *limits;
+    uint32_t timeout_ms;
+    const char *error; /* NULL: accepted */
+  } LIMITS[] = {
+    { "", 0, NULL },
+    { ",\"limits\":null", 0, NULL },
+    { ",\"limits\":{}", 0, NULL },
+    { ",\"limits\":{\"maxHeaderBytes\":16384,\"idleTimeoutMs\":15000}", 15000, NULL },
+    { ",\"limits\":{\"idleTimeoutMs\":45000.0}", 45000, NULL },
+    { ",\"limits\":{\"idleTimeoutMs\":0}", 0, NULL },
+    { ",\"limits\":{\"idleTimeoutMs\":null}", 0, NULL },
+    { ",\"limits\":{\"idleTimeoutMs\":1e15}", LC_INTENT_IDLE_MS_MAX, NULL },
+    { ",\"limits\":{\"idleTimeoutMs\":-1}", 0, "$.limits.idleTimeoutMs" },
+    { ",\"limits\":{\"idleTimeoutMs\":\"15000\"}", 0, "$.limits.idleTimeoutMs" },
+    { ",\"limits\":{\"idleTimeoutMs\":[15000]}", 0, "$.limits.idleTimeoutMs" },
+    { ",\"limits\":[15000]", 0, "$.limits is no object" },
+    { ",\"limits\":15000", 0, "$.limits is no object" },
+  };
+
+  for (size_t i = 0; i < sizeof LIMITS / sizeof LIMITS[0]; i++)
+    {
+      char *body =
+          g_strdup_printf ("{\"version\":7,\"routes\":[]," SERVICES "%s}", LIMITS[i].limits);
+      LcNumberedDeclaration n;
+      LcError error = { 0 };
+      int r = lc_platform_declaration_read (&n, body, strlen (body), &error);
+
+      ck_assert_msg ((r == 0) == (LIMITS[i].error == NULL), "%s", body);
+      for (uint32_t k = 0; k < 2 && r == 0; k++)
+        ck_assert_uint_eq (n.declaration.services[k].idle_timeout_ms, LIMITS[i].timeout_ms);
+      if (r < 0)
+        ck_assert_msg (strstr (error.message, LIMITS[i].error) != NULL, "%s", error.message);
+      lc_numbered_finish (&n);
+      g_free (body);
+    }
+}
+END_TEST
+
 START_TEST (test_megabyte_of_empty_routes)
 {
   GString *body = g_string_new ("{\"version\":7,\"routes\":[");
@@ -237,6 +280,7 @@
   tcase_add_test (tcase, test_homes);
   tcase_add_test (tcase, test_objectives);
   tcase_add_test (tcase, test_cold_rates);
+  tcase_add_test (tcase, test_idle_timeouts);
   tcase_add_test (tcase, test_megabyte_of_empty_routes);
   suite_add_tcase (suite, tcase);
   return lc_fake_run (suite);
--- a/tests/flow/return-world.c
+++ b/tests/flow/return-world.c
@@ -80,6 +80,20 @@
   rw_apply (w, &op);
 }
 
+void
+rw_set_idle_timeout (RwWorld *w, uint32_t timeout_ms, uint32_t former_ms)
+{
+  LcViewOp op = { .kind = LC_VIEW_SERVICE };
+
+  op.service.id = 1;
+  op.service.returns_packets = true;
+  op.service.idle_timeout_ms = timeout_ms;
+  op.service.former_idle_timeout_ms = former_ms;
+  op.service.idle_revision = w->revision + 1;
+  (void)g_strlcpy (op.service.name, "desk", sizeof op.service.name);
+  rw_apply (w, &op);
+}
+
 static void
 rw_copy_op (void *user, const LcViewOp *op)
 {
--- a/tests/flow/return-world.h
+++ b/tests/flow/return-world.h
@@ -70,6 +70,9 @@
   void rw_set_homes (RwWorld *w, const char *homes);
   /* Sets the rate limit of cold endpoints, in the newest view only, until it is shown. */
   void rw_set_cold_rate (RwWorld *w, uint32_t rate_mrps);
+  /* Sets the idle timeout of service 1, and the longest one before (0: none), in the newest view only,
+   * until it is shown. */
+  void rw_set_idle_timeout (RwWorld *w, uint32_t timeout_ms, uint32_t former_ms);
   void rw_show_agent (RwWorld *w, int i);
   void rw_show_balancer (RwWorld *w);
   /* Gives the newest view to all agents and the balancer. */
