--- a/src/core/flow/lc-envelope.c
+++ b/src/core/flow/lc-envelope.c
@@ -162,14 +162,24 @@
   return e->services[lc_envelope_service_of (e, e->hop)].id == e->service_id;
 }
 
+/* Reads a flag of one byte; false: it is neither 0 nor 1. */
+static bool
+lc_envelope__get_flag (const uint8_t **p, bool *flag)
+{
+  uint64_t value = lc_envelope__get (p, 1);
+
+  *flag = value == 1;
+  return value <= 1;
+}
+
 static int
 lc_envelope__read_services (LcEnvelope *e, const uint8_t **p, const uint8_t *end)
 {
   if (end - *p < LC_ENVELOPE_SERVICES_HEAD_BYTES)
     return LC_ERR_TRUNCATED;
   e->n_services = (uint8_t)lc_envelope__get (p, 1);
-  e->is_walked = lc_envelope__get (p, 1) != 0;
-  if (e->n_services < 2 || e->n_services > LC_ENVELOPE_SERVICES_MAX)
+  if (e->n_services < 2 || e->n_services > LC_ENVELOPE_SERVICES_MAX ||
+      !lc_envelope__get_flag (p, &e->is_walked))
     return LC_ERR_CORRUPT;
   if (end - *p < (ptrdiff_t)e->n_services * LC_ENVELOPE_SERVICE_BYTES)
     return LC_ERR_TRUNCATED;
@@ -177,7 +187,8 @@
     {
       e->services[i].id = (LcServiceId)lc_envelope__get (p, 4);
       e->services[i].first = (uint8_t)lc_envelope__get (p, 1);
-      e->services[i].is_ruled_out = lc_envelope__get (p, 1) != 0;
+      if (!lc_envelope__get_flag (p, &e->services[i].is_ruled_out))
+        return LC_ERR_CORRUPT;
     }
   return lc_envelope__has_valid_services (e) ? LC_OK : LC_ERR_CORRUPT;
 }
--- a/tests/flow/test-flow-moved.c
+++ b/tests/flow/test-flow-moved.c
@@ -300,6 +300,8 @@
     { "without its services", 20, 0, 0, LC_ERR_TRUNCATED },
     { "one service", 0, 20, 1, LC_ERR_CORRUPT },
     { "too many services", 0, 20, 9, LC_ERR_CORRUPT },
+    { "an unknown flag of the packet", 0, 19, 2, LC_ERR_CORRUPT },
+    { "an unknown flag of a service", 0, 1, 128, LC_ERR_CORRUPT },
     { "another service at its hop", 0, 15, 4, LC_ERR_CORRUPT },
     { "the first has no candidate", 0, 14, 2, LC_ERR_CORRUPT },
     { "the second has no candidate", 0, 8, 4, LC_ERR_CORRUPT },
