--- a/src/core/flow/lc-flow-finder.c
+++ b/src/core/flow/lc-flow-finder.c
@@ -282,17 +282,31 @@
         a, key, lc_flow_pointers_add_message (a, LC_FLOW_QUERY_REPLY, &peer->agent));
 }
 
+/* Drops what is left of the search that had the slot before. */
+static void
+lc_flow_finder__clear_slot (LcFlowAgent *a, uint32_t slot)
+{
+  (void)g_hash_table_remove (a->envelopes, GUINT_TO_POINTER (slot));
+  for (guint i = a->passed->len; i > 0; i--)
+    if (g_array_index (a->passed, LcFlowPassed, i - 1).slot == slot)
+      g_array_remove_index_fast (a->passed, i - 1);
+}
+
 /* Begins or continues a search; `is_ruled_out`: the own backend server does not hold the flow. */
 static LcFlowSearch *
 lc_flow_finder__begin (LcFlowAgent *a, const LcPacket *packet, bool is_ruled_out, int64_t now_us)
 {
   LcFlowSearchMember self = lc_flow_finder__self (a);
+  bool is_joined = lc_flow_search_is_running (a->searches, &packet->key, now_us);
   LcFlowSearch *search = lc_flow_search_begin (a->searches, packet, now_us);
+  uint32_t slot = lc_flow_search_slot_of (a->searches, search);
 
+  if (!is_joined)
+    lc_flow_finder__clear_slot (a, slot);
   a->counts.searched_total++;
   lc_flow_reconnects_add (&a->reconnects, packet->key.source_ipv4, now_us);
   search->is_new_packet = true;
-  a->next_try_slot = MIN (a->next_try_slot, lc_flow_search_slot_of (a->searches, search));
+  a->next_try_slot = MIN (a->next_try_slot, slot);
   if (is_ruled_out)
     lc_flow_search_rule_out (a->searches, &packet->key, &self, a->roster, now_us);
   return search;
@@ -302,12 +316,8 @@
 static void
 lc_flow_finder__store_envelope (LcFlowAgent *a, const LcEnvelope *e, uint32_t slot)
 {
-  gpointer key = GUINT_TO_POINTER (slot);
-
   if (e->n_services > 0)
-    (void)g_hash_table_insert (a->envelopes, key, g_memdup2 (e, sizeof *e));
-  else
-    (void)g_hash_table_remove (a->envelopes, key);
+    (void)g_hash_table_insert (a->envelopes, GUINT_TO_POINTER (slot), g_memdup2 (e, sizeof *e));
 }
 
 /* Sends the packet also to homes of the balancer's view that are not in the view here: they may
@@ -349,7 +359,6 @@
   LcFlowAction action = { .kind = LC_FLOW_ACTION_SEARCH };
 
   action.search.slot = lc_flow_search_slot_of (a->searches, search);
-  (void)g_hash_table_remove (a->envelopes, GUINT_TO_POINTER (action.search.slot));
   lc_flow_finder__send_rounds (a, now_us);
   lc_flow_finder__end_all_unowned (a);
   return action;
--- a/tests/flow/test-flow-moved.c
+++ b/tests/flow/test-flow-moved.c
@@ -214,6 +214,68 @@
 }
 END_TEST
 
+/* A search that has to go on in another service does so although a packet without the list of
+ * services joins it. */
+START_TEST (test_joined_search_goes_on)
+{
+  LcPacket p = rw_packet_of (3, false);
+  int n_joined = 0;
+  RwWorld w;
+
+  rw_start_services (&w, ROUNDS, 2, true);
+  rw_open_flows (&w);
+  rw_move_address (&w, 2);
+  rw_show_view (&w);
+  restart_agents (&w, 3 << 1);
+  rw_settle (&w);
+  (void)rw_send (&w, &p);
+  for (int i = 0; i < w.n_agents; i++)
+    if (w.nodes[i].agent.searches->n_used > 0)
+      {
+        (void)lc_flow_finder_search_returned (&w.nodes[i].agent, &p, w.now_us);
+        n_joined++;
+      }
+  ck_assert_int_eq (n_joined, 1);
+  for (int tick = 0; tick < 20; tick++)
+    {
+      rw_pass (&w, LC_FLOW_AGENT_TICK_US);
+      ck_assert_uint_eq (rw_take_resets (&w), 0);
+    }
+  ck_assert_uint_eq (count_delivered (&w), 1);
+  rw_stop (&w);
+}
+END_TEST
+
+/* The slot of a search that goes on elsewhere is taken by another flow's before its packet is sent:
+ * that one must not be sent with the services that the first flow's envelope has ruled out. */
+START_TEST (test_slot_is_taken_again)
+{
+  LcPacket first = rw_packet_of (0, false);
+  LcPacket second = rw_packet_of (1, false);
+  uint32_t n_passed = 0;
+  LcFlowAgent *agent;
+  LcEnvelope e;
+  LcCandidate to;
+  LcFlowTry next;
+  RwWorld w;
+
+  rw_start_services (&w, 2, 2, true);
+  rw_move_address (&w, 2);
+  rw_show_view (&w);
+  agent = &w.nodes[1].agent;
+  while (lc_flow_key_hash (&second.key) % LC_FLOW_SEARCHES_MAX !=
+         lc_flow_key_hash (&first.key) % LC_FLOW_SEARCHES_MAX)
+    second.key.source_port++;
+  ck_assert_int_eq (lc_flow_balancer_steer (&w.balancer, &first, &e, &to), 0);
+  (void)lc_flow_finder_search (agent, &e, &first, w.now_us);
+  (void)lc_flow_finder_search (agent, &e, &second, w.now_us);
+  while (lc_flow_finder_next_try (agent, w.now_us, &next))
+    n_passed += next.is_passed;
+  ck_assert_uint_eq (n_passed, 1);
+  rw_stop (&w);
+}
+END_TEST
+
 /* With more former services than the list has room for, flows of the listed ones are reached, and
  * those of the others are not reset: whether they are held can't be found out. */
 START_TEST (test_more_services_than_listed)
@@ -340,6 +402,8 @@
   tcase_add_test (moves, test_moved_flows_need_no_search);
   tcase_add_test (moves, test_unowned_flow_is_reset_after_all_services);
   tcase_add_test (moves, test_first_packet_copies_around_move);
+  tcase_add_test (moves, test_joined_search_goes_on);
+  tcase_add_test (moves, test_slot_is_taken_again);
   tcase_add_test (moves, test_more_services_than_listed);
   tcase_add_test (moves, test_envelope_visits_services_in_order);
   tcase_add_test (moves, test_envelope_with_services_on_wire);
