--- a/tests/e2e/test_failures.py
+++ b/tests/e2e/test_failures.py
@@ -110,7 +110,8 @@
             wait_until("a new leader is elected", lambda: site.status().get("leader") not in (None, "", first))
             site.carry_out("drain", "desk-1")
             site.start_control(first)
-            second = site.status()["leader"]
+            # A control VM that has just started answers before it has a leader.
+            second = wait_until("a control VM names the leader", lambda: site.status().get("leader"))
             wait_until(f"{first} has caught up", lambda: [
                 one.get("behind") for one in site.status()["members"] if one["name"] == first] == [0])
             before = site.status()["revision"]
