--- a/tests/flow/return-world.c
+++ b/tests/flow/return-world.c
@@ -488,6 +488,32 @@
   rw_settle (w);
 }
 
+uint32_t
+rw_n_delivered (const RwWorld *w)
+{
+  uint32_t n = 0;
+
+  for (int i = 0; i < w->n_agents; i++)
+    n += w->nodes[i].n_delivered;
+  return n;
+}
+
+bool
+rw_reaches_owner (RwWorld *w, uint32_t flow)
+{
+  LcPacket p = rw_packet_of (flow, false);
+  uint32_t before = rw_n_delivered (w);
+
+  for (int copy = 0; copy < RW_N_COPIES && rw_n_delivered (w) == before; copy++)
+    {
+      (void)rw_send (w, &p);
+      for (int64_t us = 0; us < (200 << copy) * LC_US_PER_MS && rw_n_delivered (w) == before;
+           us += LC_FLOW_AGENT_TICK_US)
+        rw_pass (w, LC_FLOW_AGENT_TICK_US);
+    }
+  return rw_n_delivered (w) > before;
+}
+
 void
 rw_check_all_reach (RwWorld *w, const char *what)
 {
--- a/tests/flow/return-world.h
+++ b/tests/flow/return-world.h
@@ -19,6 +19,7 @@
     RW_N_AGENTS = 5, /* of rw_start */
     RW_N_FLOWS = 40,
     RW_MAX_STEPS = 200, /* forwards of one packet; a walk takes far fewer */
+    RW_N_COPIES = 5,    /* of a packet, sent at 0, 0.2, 0.6, 1.4 and 3 s */
     RW_LARGE = 300,     /* from this number of agents on, all share one view */
   };
 
@@ -91,6 +92,11 @@
   void rw_move_address (RwWorld *w, LcServiceId service_id);
   void rw_stop (RwWorld *w);
   uint32_t rw_n_held (const RwWorld *w, uint32_t flow);
+  /* Packets that were delivered to backend servers that hold their flows. */
+  uint32_t rw_n_delivered (const RwWorld *w);
+  /* Sends copies of a packet as a caller does, until one is delivered to a backend server that holds
+   * the flow; whether one was. */
+  bool rw_reaches_owner (RwWorld *w, uint32_t flow);
   /* Advances the time, ticks each agent and delivers messages until there are none. */
   void rw_pass (RwWorld *w, int64_t us);
   /* rw_pass of 300 ms. */
--- a/tests/flow/test-flow-idle.c
+++ b/tests/flow/test-flow-idle.c
@@ -10,7 +10,6 @@
   DIRECT = 3,  /* agents; packets are sent to all of them */
   ROUNDS = 20, /* agents are queried in rounds */
   STEPS_MAX = 6,
-  N_COPIES = 5, /* of a packet, sent at 0, 0.2, 0.6, 1.4 and 3 s */
 };
 
 /* Of the agents' settings, and the timeout that the configuration has at first. */
@@ -99,34 +98,6 @@
     }
 }
 
-static uint32_t
-count_delivered (const RwWorld *w)
-{
-  uint32_t n = 0;
-
-  for (int i = 0; i < w->n_agents; i++)
-    n += w->nodes[i].n_delivered;
-  return n;
-}
-
-/* Sends copies of a packet as a caller does, until one reaches the backend server that holds the
- * flow; whether one did. */
-static bool
-reaches_owner (RwWorld *w, uint32_t flow)
-{
-  LcPacket p = rw_packet_of (flow, false);
-  uint32_t before = count_delivered (w);
-
-  for (int copy = 0; copy < N_COPIES && count_delivered (w) == before; copy++)
-    {
-      (void)rw_send (w, &p);
-      for (int64_t us = 0; us < (200 << copy) * LC_US_PER_MS && count_delivered (w) == before;
-           us += LC_FLOW_AGENT_TICK_US)
-        rw_pass (w, LC_FLOW_AGENT_TICK_US);
-    }
-  return count_delivered (w) > before;
-}
-
 /* Nothing read the idle timeout of the configuration: agents discarded idle flows after the timeout
  * of their settings, and claimed that their tables were complete. */
 START_TEST (test_idle_flows_are_reached)
@@ -144,7 +115,8 @@
   for (int k = 0; k < STEPS_MAX; k++)
     carry_out (&w, &CASES[i].steps[k]);
   for (uint32_t f = 0; f < RW_N_FLOWS; f++)
-    ck_assert_msg (reaches_owner (&w, f), "%s, %d agents: flow %u", CASES[i].what, w.n_agents, f);
+    ck_assert_msg (rw_reaches_owner (&w, f), "%s, %d agents: flow %u", CASES[i].what, w.n_agents,
+                   f);
   ck_assert_uint_eq (w.n_resets + rw_take_resets (&w), 0);
   rw_stop (&w);
 }
--- a/tests/flow/test-flow-moved.c
+++ b/tests/flow/test-flow-moved.c
@@ -11,19 +11,8 @@
   ROUNDS = 44, /* of two services of 22, in which agents are queried in rounds */
   MIXED = 40,  /* of a service of 14 and two of 13 */
   MOVES_MAX = 4,
-  N_COPIES = 5, /* of a packet, sent at 0, 0.2, 0.6, 1.4 and 3 s */
 };
 
-static uint32_t
-count_delivered (const RwWorld *w)
-{
-  uint32_t n = 0;
-
-  for (int i = 0; i < w->n_agents; i++)
-    n += w->nodes[i].n_delivered;
-  return n;
-}
-
 static uint32_t
 count_firsts (const RwWorld *w, LcServiceId service_id)
 {
@@ -34,23 +23,6 @@
   return n;
 }
 
-/* Sends copies of a packet as a caller does, until one is delivered to the backend server that holds
- * the flow; whether one was. */
-static bool
-reaches_owner (RwWorld *w, uint32_t flow)
-{
-  LcPacket p = rw_packet_of (flow, false);
-  uint32_t before = count_delivered (w);
-
-  for (int copy = 0; copy < N_COPIES && count_delivered (w) == before; copy++)
-    {
-      (void)rw_send (w, &p);
-      for (int64_t us = 0; us < (200 << copy) * LC_US_PER_MS; us += LC_FLOW_AGENT_TICK_US)
-        rw_pass (w, LC_FLOW_AGENT_TICK_US);
-    }
-  return count_delivered (w) > before;
-}
-
 /* A restart of the agents of each service in the bit set. */
 static void
 restart_agents (RwWorld *w, uint32_t services)
@@ -99,13 +71,13 @@
       rw_move_address (&w, MOVES[_i].moves[k]);
       rw_show_view (&w);
       for (uint32_t f = 0; f < RW_N_FLOWS && !MOVES[_i].is_idle; f++)
-        ck_assert_msg (reaches_owner (&w, f), "%s: flow %u, move %d", MOVES[_i].what, f, k);
+        ck_assert_msg (rw_reaches_owner (&w, f), "%s: flow %u, move %d", MOVES[_i].what, f, k);
     }
   restart_agents (&w, MOVES[_i].restarted);
   rw_settle (&w);
   for (int turn = 0; turn < 2; turn++)
     for (uint32_t f = 0; f < RW_N_FLOWS; f++)
-      ck_assert_msg (reaches_owner (&w, f), "%s: flow %u, turn %d", MOVES[_i].what, f, turn);
+      ck_assert_msg (rw_reaches_owner (&w, f), "%s: flow %u, turn %d", MOVES[_i].what, f, turn);
   ck_assert_uint_eq (w.n_resets + rw_take_resets (&w), 0);
   rw_stop (&w);
 }
@@ -208,7 +180,7 @@
     if (w.nodes[i].service_id == 2)
       w.nodes[i].holds[0] = false;
   rw_settle (&w);
-  ck_assert (reaches_owner (&w, 0));
+  ck_assert (rw_reaches_owner (&w, 0));
   ck_assert_uint_eq (w.n_resets + rw_take_resets (&w), 0);
   rw_stop (&w);
 }
@@ -241,7 +213,7 @@
       rw_pass (&w, LC_FLOW_AGENT_TICK_US);
       ck_assert_uint_eq (rw_take_resets (&w), 0);
     }
-  ck_assert_uint_eq (count_delivered (&w), 1);
+  ck_assert_uint_eq (rw_n_delivered (&w), 1);
   rw_stop (&w);
 }
 END_TEST
@@ -294,7 +266,7 @@
       rw_settle (&w);
     }
   for (int id = 1; id <= n_services; id++)
-    ck_assert_msg (reaches_owner (&w, (uint32_t)id) == (id > n_services - LC_ADDRESS_FORMER_MAX),
+    ck_assert_msg (rw_reaches_owner (&w, (uint32_t)id) == (id > n_services - LC_ADDRESS_FORMER_MAX),
                    "service %d", id);
   ck_assert_uint_eq (w.n_resets + rw_take_resets (&w), 0);
   rw_stop (&w);
