--- a/review/rig.py
+++ b/review/rig.py
@@ -589,7 +589,8 @@
 
 
 class Site:
-    def __init__(self, folder, seed, sides=(("alpha", 2), ("alpha", 2), ("alpha", 2)), cores=3, thin=1):
+    def __init__(self, folder, seed, sides=(("alpha", 2), ("alpha", 2), ("alpha", 2)), cores=3,
+                 thin=(1, 1, 1)):
         self.rng = random.Random(seed)
         self.temporary = tempfile.mkdtemp(prefix="lychee-review.")
         self.record = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
@@ -599,7 +600,7 @@
         self.address, self.machines = {}, {}
         self.edges, self.sides = [], {}
         for z, zone in enumerate(self.zones):
-            for k in range(1 + thin):
+            for k in range(1 + thin[z]):
                 name = f"edge-{zone}-{k + 1}"
                 self.address[name] = f"{self.block}.{z + 1}.{10 + k}"
                 self.edges.append(name)
