Flow plane: why an owned flow left an agent's table, and why it is searched for

`flow.searched` gave "the backend server returned it" also where nothing was returned and the agent had relied on its own table. Change: counter lychee_flow_released_total by reason and log event flow.released with the other agent; flow.searched tells the three causes of a search apart.

--- a/src/agent/lc-agent-flow-private.h
+++ b/src/agent/lc-agent-flow-private.h
@@ -27,6 +27,9 @@
                                 uint32_t n_asked,
                                 int64_t now_us);
 void lc_agent_flow__log_returned (LcAgentFlow *plane, const LcPacket *packet, int64_t now_us);
+/* Logs that an open flow left the table before it ended, and why. */
+void
+lc_agent_flow__log_released (LcAgentFlow *plane, const LcFlowReleased *released, int64_t now_us);
 /* Logs that a search ended: no backend server holds the flow. */
 void lc_agent_flow__log_unowned (LcAgentFlow *plane, const LcPacket *packet, int64_t now_us);
 /* Records a response of the backend server in the histograms; logs it if it is late. */
--- a/src/agent/lc-agent-flow-report.c
+++ b/src/agent/lc-agent-flow-report.c
@@ -17,6 +17,30 @@
                                           "Answers that took longer than late_answer_ms", NULL);
 }
 
+static const struct
+{
+  const char *label; /* of the counter */
+  const char *why;   /* in the log */
+} LC_AGENT_FLOW_RELEASES[LC_N_FLOW_RELEASES] = {
+  [LC_FLOW_RELEASE_IDLE] = { "reason=\"idle\"", "idle or ended" },
+  [LC_FLOW_RELEASE_RETURNED] = { "reason=\"returned\"", "the backend server returned a packet" },
+  [LC_FLOW_RELEASE_UNANSWERED] = { "reason=\"unanswered\"",
+                                   "the backend server left its first packet unanswered" },
+  [LC_FLOW_RELEASE_REFUSED] = { "reason=\"refused\"", "a home refused its registration" },
+  [LC_FLOW_RELEASE_CLAIMED] = { "reason=\"claimed\"", "another agent registered a later owner" },
+  [LC_FLOW_RELEASE_HANDED_OVER] = { "reason=\"handed-over\"", "another agent took it over" },
+  [LC_FLOW_RELEASE_REPLACED] = { "reason=\"replaced\"", "a newer flow of the same caller port" },
+};
+
+static void
+lc_agent_flow__register_releases (LcAgentFlow *plane, LcMetrics *metrics)
+{
+  for (int i = 0; i < LC_N_FLOW_RELEASES; i++)
+    lc_flow_meter_add (&plane->meter, metrics, "lychee_flow_released_total",
+                       "Owned flows that left the table, by reason",
+                       LC_AGENT_FLOW_RELEASES[i].label, &plane->agent.counts.released_total[i]);
+}
+
 /* Counters of the admission queue and of ejections (lc-flow-gate, lc-outlier). */
 static void
 lc_agent_flow__register_gate_metrics (LcAgentFlow *plane, LcMetrics *metrics)
@@ -90,6 +114,7 @@
   lc_flow_meter_add_drops (meter, metrics, counts->dropped_total);
   plane->open_flows =
       lc_metrics_gauge (metrics, "lychee_flow_open", "Open flows of the backend server", NULL);
+  lc_agent_flow__register_releases (plane, metrics);
   lc_agent_flow__register_gate_metrics (plane, metrics);
   lc_agent_flow__register_histograms (plane, metrics);
 }
@@ -151,6 +176,21 @@
   return NULL;
 }
 
+static const char *
+lc_agent_flow__search_cause (LcFlowSearchCause cause)
+{
+  switch (cause)
+    {
+    case LC_FLOW_SEARCH_UNKNOWN:
+      return "no home has its owner";
+    case LC_FLOW_SEARCH_NOT_HERE:
+      return "no home has its owner, and it is not in the complete table here";
+    case LC_FLOW_SEARCH_RETURNED:
+      return "the backend server returned it";
+    }
+  return NULL;
+}
+
 /* Fills the fields that all lines have: age of the view and load. */
 static LcFlowLogLine
 lc_agent_flow__make_log_line (const LcAgentFlow *plane,
@@ -196,8 +236,7 @@
       return;
     case LC_FLOW_ACTION_SEARCH:
       line.kind = LC_FLOW_LOG_SEARCHED;
-      line.why =
-          action->search.is_local ? "no home has its owner" : "the backend server returned it";
+      line.why = lc_agent_flow__search_cause (action->search.cause);
       line.n_asked = n_asked;
       break;
     case LC_FLOW_ACTION_RESET:
@@ -225,6 +264,17 @@
   lc_flow_log (&plane->log, &line, now_us);
 }
 
+void
+lc_agent_flow__log_released (LcAgentFlow *plane, const LcFlowReleased *released, int64_t now_us)
+{
+  LcFlowLogLine line =
+      lc_agent_flow__make_log_line (plane, LC_FLOW_LOG_RELEASED, &released->key, now_us);
+
+  line.why = LC_AGENT_FLOW_RELEASES[released->reason].why;
+  line.to = (LcSocketAddress){ .ipv4 = released->by.ipv4, .port = released->by.port };
+  lc_flow_log (&plane->log, &line, now_us);
+}
+
 void
 lc_agent_flow__log_unowned (LcAgentFlow *plane, const LcPacket *packet, int64_t now_us)
 {
--- a/src/agent/lc-agent-flow.c
+++ b/src/agent/lc-agent-flow.c
@@ -121,8 +121,11 @@
 lc_agent_flow__send_messages (LcAgentFlow *plane, int64_t now_us)
 {
   uint8_t bytes[LC_FLOW_WIRE_MAX];
+  LcFlowReleased released;
   LcFlowMessage message;
 
+  while (lc_flow_agent_next_released (&plane->agent, &released))
+    lc_agent_flow__log_released (plane, &released, now_us);
   lc_agent_flow__release_held (plane, now_us);
   lc_agent_flow__send_resets (plane, now_us);
   (void)lc_agent_flow__send_searched (plane, now_us);
--- a/src/cli/lc-explain.c
+++ b/src/cli/lc-explain.c
@@ -308,8 +308,8 @@
 static bool
 lc_explain__is_bad (const LcExplainLine *line)
 {
-  static const char *const BAD[] = { "flow.dropped", "flow.reset", "flow.returned", "flow.searched",
-                                     "flow.late" };
+  static const char *const BAD[] = { "flow.dropped",  "flow.reset", "flow.returned",
+                                     "flow.searched", "flow.late",  "flow.released" };
 
   for (size_t i = 0; i < G_N_ELEMENTS (BAD); i++)
     if (strcmp (line->event, BAD[i]) == 0)
--- a/src/core/flow/lc-flow-agent-packet.c
+++ b/src/core/flow/lc-flow-agent-packet.c
@@ -219,7 +219,7 @@
 lc_flow_agent__change_kind (LcFlowAgent *a, LcFlow *f, LcFlowKind kind)
 {
   if (f->kind == LC_FLOW_OWNED)
-    lc_flow_pointers_disown (a, f);
+    lc_flow_pointers_disown (a, f, LC_FLOW_RELEASE_REPLACED, NULL);
   lc_flow_agent__end_request (a, f);
   lc_flow_table_set_kind (&a->table, f, kind);
   f->flags = 0;
--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -40,7 +40,7 @@
         }
       if (f->expiry_tick <= lc_flow_tick (now_us))
         {
-          lc_flow_pointers_unregister (a, f);
+          lc_flow_pointers_unregister (a, f, LC_FLOW_RELEASE_IDLE);
           lc_flow_table_remove (&a->table, f);
           continue;
         }
@@ -227,6 +227,7 @@
   a->found = g_array_new (FALSE, FALSE, sizeof (LcFlowFound));
   a->envelopes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   a->passed = g_array_new (FALSE, FALSE, sizeof (LcFlowPassed));
+  a->released = g_array_new (FALSE, FALSE, sizeof (LcFlowReleased));
   a->held = g_array_new (FALSE, FALSE, sizeof (LcFlowHeld));
   lc_flow_gate_init (&a->gate, &d->gate);
   lc_warmup_limit_init (&a->gate.cold, &d->cold, now_us);
@@ -253,6 +254,7 @@
   g_array_unref (a->found);
   g_hash_table_destroy (a->envelopes);
   g_array_unref (a->passed);
+  g_array_unref (a->released);
   g_array_unref (a->held);
   lc_flow_gate_finish (&a->gate);
   memset (a, 0, sizeof *a);
@@ -397,6 +399,16 @@
   return true;
 }
 
+bool
+lc_flow_agent_next_released (LcFlowAgent *a, LcFlowReleased *released)
+{
+  if (a->released->len == 0)
+    return false;
+  *released = g_array_index (a->released, LcFlowReleased, 0);
+  g_array_remove_index (a->released, 0);
+  return true;
+}
+
 /* === public: state ========================================================================== */
 
 void
--- a/src/core/flow/lc-flow-agent.h
+++ b/src/core/flow/lc-flow-agent.h
@@ -90,6 +90,35 @@
     LC_FLOW_BACKEND_UNAVAILABLE = 2, /* leaving, silent or absent */
   } LcFlowBackendState;
 
+  /* Why an owned flow left the table.  Only the first one is normal for an open flow. */
+  typedef enum
+  {
+    LC_FLOW_RELEASE_IDLE = 0,    /* idle for too long, or ended */
+    LC_FLOW_RELEASE_RETURNED,    /* the backend server returned one of its packets */
+    LC_FLOW_RELEASE_UNANSWERED,  /* the backend server left its first packet unanswered */
+    LC_FLOW_RELEASE_REFUSED,     /* a home refused the registration */
+    LC_FLOW_RELEASE_CLAIMED,     /* another agent registered it with a higher epoch */
+    LC_FLOW_RELEASE_HANDED_OVER, /* another agent has taken it over */
+    LC_FLOW_RELEASE_REPLACED,    /* the entry was needed for a newer flow of the same key */
+    LC_N_FLOW_RELEASES,
+  } LcFlowRelease;
+
+  /* An owned flow that left the table. */
+  typedef struct
+  {
+    LcFlowKey key;
+    LcFlowRelease reason;
+    LcCandidate by; /* the other agent; id 0: none */
+  } LcFlowReleased;
+
+  /* Why a flow's owner is searched for. */
+  typedef enum
+  {
+    LC_FLOW_SEARCH_UNKNOWN = 0,  /* no home has its owner */
+    LC_FLOW_SEARCH_NOT_HERE = 1, /* nor is it in this agent's table, which is complete */
+    LC_FLOW_SEARCH_RETURNED = 2, /* the own backend server returned the packet */
+  } LcFlowSearchCause;
+
   typedef enum
   {
     LC_FLOW_ACTION_DELIVER = 1,
@@ -132,6 +161,7 @@
       {
         uint32_t slot; /* store the packet under it: lc_flow_finder_next_try */
         bool is_local; /* also try it on the own backend server */
+        LcFlowSearchCause cause;
       } search;
     };
   } LcFlowAction;
@@ -187,6 +217,7 @@
     uint64_t passed_total;   /* searches that went on in another service */
     uint64_t queries_total;  /* query messages of search rounds */
     uint64_t ejected_total;  /* times the backend server was ejected as an outlier */
+    uint64_t released_total[LC_N_FLOW_RELEASES]; /* owned flows that left the table */
     uint64_t dropped_total[LC_N_DROP_REASONS];
   } LcFlowAgentCounts;
 
@@ -243,6 +274,7 @@
     GArray *found;            /* LcFlowFound: stored packets to send to their owners */
     GHashTable *envelopes;    /* search slot -> LcEnvelope, of packets that name several services */
     GArray *passed;           /* LcFlowPassed: stored packets to send to another service */
+    GArray *released;         /* LcFlowReleased: for the log, LC_FLOW_RELEASED_MAX at most */
     LcFlowAgentCounts counts;
   } LcFlowAgent;
 
@@ -259,6 +291,9 @@
   lc_flow_agent_handle_message (LcFlowAgent *agent, const LcFlowMessage *message, int64_t now_us);
   void lc_flow_agent_tick (LcFlowAgent *agent, int64_t now_us);
   bool lc_flow_agent_next_message (LcFlowAgent *agent, LcFlowMessage *message, int64_t now_us);
+  /* Takes the next owned flow that left the table, except idle ones; false: none.  Beyond
+   * LC_FLOW_RELEASED_MAX between two calls they are only counted. */
+  bool lc_flow_agent_next_released (LcFlowAgent *agent, LcFlowReleased *released);
 
   /* Whether upstream has been silent so long that control may have marked this endpoint lost. */
   void lc_flow_agent_set_cut_off (LcFlowAgent *agent, bool is_cut_off);
--- a/src/core/flow/lc-flow-finder.c
+++ b/src/core/flow/lc-flow-finder.c
@@ -346,6 +346,7 @@
   action.search.slot = lc_flow_search_slot_of (a->searches, search);
   lc_flow_finder__store_envelope (a, e, action.search.slot);
   action.search.is_local = !knows_all;
+  action.search.cause = knows_all ? LC_FLOW_SEARCH_NOT_HERE : LC_FLOW_SEARCH_UNKNOWN;
   lc_flow_finder__send_to_unknown (a, e, action.search.slot);
   lc_flow_finder__send_rounds (a, now_us);
   lc_flow_finder__end_all_unowned (a);
@@ -356,7 +357,8 @@
 lc_flow_finder_search_returned (LcFlowAgent *a, const LcPacket *packet, int64_t now_us)
 {
   LcFlowSearch *search = lc_flow_finder__begin (a, packet, true, now_us);
-  LcFlowAction action = { .kind = LC_FLOW_ACTION_SEARCH };
+  LcFlowAction action = { .kind = LC_FLOW_ACTION_SEARCH,
+                          .search = { .cause = LC_FLOW_SEARCH_RETURNED } };
 
   action.search.slot = lc_flow_search_slot_of (a->searches, search);
   lc_flow_finder__send_rounds (a, now_us);
--- a/src/core/flow/lc-flow-pointers.c
+++ b/src/core/flow/lc-flow-pointers.c
@@ -9,6 +9,7 @@
   LC_FLOW_RETRY_MS = 200,
   LC_FLOW_OUTBOX_LOOK_BACK = 24, /* queued messages searched for one with room */
   LC_FLOW_HAND_OVER_MAX_LEFT_MS = 1 << 30,
+  LC_FLOW_RELEASED_MAX = 64, /* logged releases between two calls of lc_flow_agent_next_released */
 };
 
 /* === private: batches ======================================================================= */
@@ -178,7 +179,7 @@
 }
 
 void
-lc_flow_pointers_unregister (LcFlowAgent *a, LcFlow *f)
+lc_flow_pointers_unregister (LcFlowAgent *a, LcFlow *f, LcFlowRelease reason)
 {
   LcCandidateList list;
 
@@ -191,12 +192,29 @@
         entry->key = f->key;
         entry->is_end = true;
       }
-  lc_flow_pointers_disown (a, f);
+  lc_flow_pointers_disown (a, f, reason, NULL);
+}
+
+static void
+lc_flow_pointers__record_release (LcFlowAgent *a,
+                                  const LcFlow *f,
+                                  LcFlowRelease reason,
+                                  const LcCandidate *by)
+{
+  LcFlowReleased released = { .key = f->key, .reason = reason };
+
+  a->counts.released_total[reason]++;
+  if (reason == LC_FLOW_RELEASE_IDLE || a->released->len >= LC_FLOW_RELEASED_MAX)
+    return;
+  if (by != NULL)
+    released.by = *by;
+  g_array_append_val (a->released, released);
 }
 
 void
-lc_flow_pointers_disown (LcFlowAgent *a, LcFlow *f)
+lc_flow_pointers_disown (LcFlowAgent *a, LcFlow *f, LcFlowRelease reason, const LcCandidate *by)
 {
+  lc_flow_pointers__record_release (a, f, reason, by);
   lc_flow_pointers__set_behind (a, f, false);
   a->n_adopted -= (f->flags & LC_FLOW_ADOPTED) != 0;
   a->n_ended -= (f->flags & (LC_FLOW_ENDED | LC_FLOW_ADOPTED)) == LC_FLOW_ENDED;
@@ -227,9 +245,12 @@
 }
 
 static void
-lc_flow_pointers__release_refused (LcFlowAgent *a, LcFlow *f, int64_t now_us)
+lc_flow_pointers__release_refused (LcFlowAgent *a,
+                                   LcFlow *f,
+                                   const LcCandidate *home,
+                                   int64_t now_us)
 {
-  lc_flow_pointers_disown (a, f);
+  lc_flow_pointers_disown (a, f, LC_FLOW_RELEASE_REFUSED, home);
   a->counts.conflicts_total++;
   /* A backend server that returns packets may still hold the flow: the entry stays, so that a
    * search tries it (lc-flow-finder.h). */
@@ -252,7 +273,7 @@
         continue;
       if (m->entries[i].is_refused)
         {
-          lc_flow_pointers__release_refused (a, f, now_us);
+          lc_flow_pointers__release_refused (a, f, &m->load.agent, now_us);
           continue;
         }
       lc_flow_pointers__pick_homes (a, &a->sets, f, &list);
@@ -301,7 +322,7 @@
     LcFlowAgent *a, LcFlow *f, const LcCandidate *owner, LcRevision revision, int64_t now_us)
 {
   if (f->kind == LC_FLOW_OWNED)
-    lc_flow_pointers_disown (a, f);
+    lc_flow_pointers_disown (a, f, LC_FLOW_RELEASE_CLAIMED, owner);
   lc_flow_table_set_kind (&a->table, f, LC_FLOW_POINTER);
   f->flags |= LC_FLOW_CONFIRMED;
   f->endpoint_id = owner->id;
@@ -567,6 +588,7 @@
 
       if (f == NULL || f->kind != LC_FLOW_OWNED)
         continue;
+      lc_flow_pointers_disown (a, f, LC_FLOW_RELEASE_HANDED_OVER, &m->load.agent);
       lc_flow_pointers__set_pointer (a, f, &m->load.agent, m->load.revision, now_us);
       f->epoch = m->entries[i].epoch;
     }
--- a/src/core/flow/lc-flow-pointers.h
+++ b/src/core/flow/lc-flow-pointers.h
@@ -30,7 +30,7 @@
   /* Finds the homes that lack a pointer after a change of the candidate sets. */
   void lc_flow_pointers_update_homes (LcFlowAgent *agent);
   /* Unregisters an ended flow, once; pointers expire if the message is lost. */
-  void lc_flow_pointers_unregister (LcFlowAgent *agent, LcFlow *flow);
+  void lc_flow_pointers_unregister (LcFlowAgent *agent, LcFlow *flow, LcFlowRelease reason);
   /* Sends the registrations that are due, oldest first. */
   void lc_flow_pointers_send_due (LcFlowAgent *agent, int64_t now_us);
 
@@ -52,8 +52,11 @@
    * process; at most `budget` a call. */
   void lc_flow_pointers_hand_over (LcFlowAgent *agent, uint32_t budget, int64_t now_us);
 
-  /* Ends ownership without a message to the homes. */
-  void lc_flow_pointers_disown (LcFlowAgent *agent, LcFlow *flow);
+  /* Ends ownership without a message to the homes.  `by`: the other agent; NULL: none. */
+  void lc_flow_pointers_disown (LcFlowAgent *agent,
+                                LcFlow *flow,
+                                LcFlowRelease reason,
+                                const LcCandidate *by);
 
   /* Stores a pointer to a reported owner.  False: the flow is owned here, that owner is gone in the
    * view, or the table is full. */
--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -222,11 +222,11 @@
 }
 
 static void
-lc_flow_return__disown (LcFlowAgent *a, LcFlow *f)
+lc_flow_return__disown (LcFlowAgent *a, LcFlow *f, LcFlowRelease reason)
 {
   if (f == NULL || f->kind != LC_FLOW_OWNED)
     return;
-  lc_flow_pointers_unregister (a, f);
+  lc_flow_pointers_unregister (a, f, reason);
   lc_flow_table_remove (&a->table, f);
 }
 
@@ -297,7 +297,7 @@
   a->arrival_dc = e->dc;
   if (lc_flow_return__is_unanswered (f, packet))
     {
-      lc_flow_return__disown (a, f);
+      lc_flow_return__disown (a, f, LC_FLOW_RELEASE_UNANSWERED);
       lc_flow_agent__record_failure (a, now_us);
       return lc_flow_return__reassign (a, e, packet, now_us);
     }
@@ -390,7 +390,8 @@
 {
   a->counts.returned_total++;
   lc_flow_return__disown (
-      a, lc_flow_table_find (&a->table, &packet->key, lc_flow_key_hash (&packet->key)));
+      a, lc_flow_table_find (&a->table, &packet->key, lc_flow_key_hash (&packet->key)),
+      LC_FLOW_RELEASE_RETURNED);
   if (!packet->may_open)
     return lc_flow_return__search_returned (a, packet, now_us);
   lc_flow_return__record_refusal (a, now_us);
--- a/src/io/lc-flow-log.c
+++ b/src/io/lc-flow-log.c
@@ -12,14 +12,15 @@
 /* Budgets add up to LC_FLOW_LOG_PER_S.  Those of normal decisions are about the rate of new flows
  * of one process at the users' sites. */
 static const LcFlowLogRule LC_FLOW_LOG_RULES[LC_N_FLOW_LOG_KINDS] = {
-  [LC_FLOW_LOG_STEERED] = { "flow.steered", LC_LOG_INFO, 40 },
-  [LC_FLOW_LOG_ASSIGNED] = { "flow.assigned", LC_LOG_INFO, 40 },
+  [LC_FLOW_LOG_STEERED] = { "flow.steered", LC_LOG_INFO, 33 },
+  [LC_FLOW_LOG_ASSIGNED] = { "flow.assigned", LC_LOG_INFO, 33 },
   [LC_FLOW_LOG_PASSED] = { "flow.passed", LC_LOG_INFO, 20 },
   [LC_FLOW_LOG_RETURNED] = { "flow.returned", LC_LOG_INFO, 14 },
   [LC_FLOW_LOG_SEARCHED] = { "flow.searched", LC_LOG_INFO, 14 },
   [LC_FLOW_LOG_LATE] = { "flow.late", LC_LOG_INFO, 14 },
   [LC_FLOW_LOG_RESET] = { "flow.reset", LC_LOG_WARN, 14 },
   [LC_FLOW_LOG_DROPPED] = { "flow.dropped", LC_LOG_WARN, 14 },
+  [LC_FLOW_LOG_RELEASED] = { "flow.released", LC_LOG_INFO, 14 },
 };
 
 static char *
--- a/src/io/lc-flow-log.h
+++ b/src/io/lc-flow-log.h
@@ -43,6 +43,7 @@
   LC_FLOW_LOG_LATE,     /* agent: the backend server answered late */
   LC_FLOW_LOG_RESET,    /* a reset was sent to the caller: the flow can't be opened, or is gone */
   LC_FLOW_LOG_DROPPED,  /* a packet was dropped */
+  LC_FLOW_LOG_RELEASED, /* agent: an open flow left the table before it ended */
   LC_N_FLOW_LOG_KINDS,
 } LcFlowLogKind;
 
--- a/tests/platform/test-observe.c
+++ b/tests/platform/test-observe.c
@@ -141,6 +141,12 @@
     "{\"event\":\"flow.late\",\"flow\":\"127.0.0.1:1034>198.18.0.1:8443\",\"why\":\"answered "
     "late\","
     "\"at_work\":4,\"after_ms\":170}" },
+  { { .kind = LC_FLOW_LOG_RELEASED,
+      .key = &FLOW,
+      .why = "a home refused its registration",
+      .to = { .ipv4 = 0x7f000002, .port = 7720 } },
+    "{\"event\":\"flow.released\",\"flow\":\"127.0.0.1:1034>198.18.0.1:8443\","
+    "\"why\":\"a home refused its registration\",\"to\":\"127.0.0.2:7720\"}" },
   { { .kind = LC_FLOW_LOG_SEARCHED, .key = &FLOW, .n_asked = 6 },
     "{\"event\":\"flow.searched\",\"flow\":\"127.0.0.1:1034>198.18.0.1:8443\",\"asked\":6}" },
 };
