Searches: an agent asks its own backend server about a flow that it gave up

Cause: an agent whose table is complete answers for its backend server without asking it. To other searchers it says "not sure" for a flow that it gave up after its backend server had answered; in its own search it did not look at that, and ruled itself out. The mark itself was lost too, when the other owner ended its claim or its pointer expired: the agent then denied the flow to other searchers as well. Change: the own search tries the backend server in that case; an entry keeps the mark until an idle timeout has passed.

--- a/src/core/flow/lc-flow-agent.c
+++ b/src/core/flow/lc-flow-agent.c
@@ -33,6 +33,11 @@
 
   while ((f = lc_flow_table_next_expired (&a->table, now_us)) != NULL)
     {
+      if (f->kind == LC_FLOW_POINTER)
+        {
+          lc_flow_pointers_drop_pointer (a, f, now_us);
+          continue;
+        }
       if (f->kind != LC_FLOW_OWNED)
         {
           lc_flow_table_remove (&a->table, f);
--- a/src/core/flow/lc-flow-finder.c
+++ b/src/core/flow/lc-flow-finder.c
@@ -334,11 +334,25 @@
     }
 }
 
+/* Whether the own backend server is known not to hold the flow, without asking it: the table has all
+ * its flows, and nothing of this one. */
+static bool
+lc_flow_finder__is_not_here (const LcFlowAgent *a,
+                             const LcEnvelope *e,
+                             const LcPacket *packet,
+                             int64_t now_us)
+{
+  const LcFlow *f = lc_flow_table_find (&a->table, &packet->key, lc_flow_key_hash (&packet->key));
+  bool is_behind = e->revision > a->view->revision; /* the idle timeout may have changed */
+
+  return !is_behind && lc_flow_finder_knowledge (a, now_us) == LC_FLOW_COVERAGE_FULL &&
+         (f == NULL || !lc_flow_finder__is_unsure (f));
+}
+
 LcFlowAction
 lc_flow_finder_search (LcFlowAgent *a, const LcEnvelope *e, const LcPacket *packet, int64_t now_us)
 {
-  bool is_behind = e->revision > a->view->revision; /* the idle timeout may have changed */
-  bool knows_all = !is_behind && lc_flow_finder_knowledge (a, now_us) == LC_FLOW_COVERAGE_FULL;
+  bool knows_all = lc_flow_finder__is_not_here (a, e, packet, now_us);
   LcFlowSearch *search = lc_flow_finder__begin (a, packet, knows_all, now_us);
   LcFlowAction action = { .kind = LC_FLOW_ACTION_SEARCH };
 
--- a/src/core/flow/lc-flow-finder.h
+++ b/src/core/flow/lc-flow-finder.h
@@ -24,8 +24,9 @@
  *   An agent has all flows of its backend server in its table when that one started after it
  *   (LcFlowAgentDesc.is_backend_fresh), or when it has run for an idle timeout: every live flow has
  *   passed by since.  Its answer is conclusive, unless its view is older than the service's last
- *   change of the idle timeout.  Otherwise the packet itself is sent to the backend
- *   server, which returns it if it does not hold the flow.
+ *   change of the idle timeout, or it has given the flow up to another agent after its backend
+ *   server had answered on it (LC_FLOW_ANSWERED on an entry that is not OWNED).  Otherwise the
+ *   packet itself is sent to the backend server, which returns it if it does not hold the flow.
  *
  * HOW TO USE IT
  *   Called by lc-flow-return and lc-flow-agent alone, except
--- a/src/core/flow/lc-flow-pointers.c
+++ b/src/core/flow/lc-flow-pointers.c
@@ -263,6 +263,17 @@
     }
 }
 
+/* A backend server that returns packets may still hold a flow that it has answered: the entry stays,
+ * so that a search tries it (lc-flow-finder.h).  Any other entry is removed. */
+static void
+lc_flow_pointers__keep_unsure (LcFlowAgent *a, LcFlow *f, int64_t now_us)
+{
+  if (a->desc.returns_packets && (f->flags & LC_FLOW_ANSWERED) != 0)
+    lc_flow_table_set_deadline (&a->table, f, now_us + lc_flow_agent__tcp_idle_us (a));
+  else
+    lc_flow_table_remove (&a->table, f);
+}
+
 static void
 lc_flow_pointers__release_refused (LcFlowAgent *a,
                                    LcFlow *f,
@@ -271,12 +282,15 @@
 {
   lc_flow_pointers_disown (a, f, LC_FLOW_RELEASE_REFUSED, home);
   a->counts.conflicts_total++;
-  /* A backend server that returns packets may still hold the flow: the entry stays, so that a
-   * search tries it (lc-flow-finder.h). */
-  if (a->desc.returns_packets && (f->flags & LC_FLOW_ANSWERED) != 0)
-    lc_flow_table_set_deadline (&a->table, f, now_us + lc_flow_agent__tcp_idle_us (a));
-  else
-    lc_flow_table_remove (&a->table, f);
+  lc_flow_pointers__keep_unsure (a, f, now_us);
+}
+
+void
+lc_flow_pointers_drop_pointer (LcFlowAgent *a, LcFlow *f, int64_t now_us)
+{
+  lc_flow_table_set_kind (&a->table, f, LC_FLOW_PENDING);
+  f->flags &= (uint8_t)~LC_FLOW_CONFIRMED;
+  lc_flow_pointers__keep_unsure (a, f, now_us);
 }
 
 void
@@ -353,11 +367,14 @@
 }
 
 static void
-lc_flow_pointers__unregister_one (LcFlowAgent *a, LcFlow *f, const LcCandidate *owner)
+lc_flow_pointers__unregister_one (LcFlowAgent *a,
+                                  LcFlow *f,
+                                  const LcCandidate *owner,
+                                  int64_t now_us)
 {
   if (f != NULL && f->kind == LC_FLOW_POINTER && f->endpoint_id == owner->id &&
       f->instance == owner->instance)
-    lc_flow_table_remove (&a->table, f);
+    lc_flow_pointers_drop_pointer (a, f, now_us);
 }
 
 static void
@@ -425,7 +442,7 @@
       if (entry->is_end)
         lc_flow_pointers__unregister_one (
             a, lc_flow_table_find (&a->table, &entry->key, lc_flow_key_hash (&entry->key)),
-            &m->load.agent);
+            &m->load.agent, now_us);
       else
         lc_flow_pointers__register_one (a, m, entry, now_us);
     }
--- a/src/core/flow/lc-flow-pointers.h
+++ b/src/core/flow/lc-flow-pointers.h
@@ -63,6 +63,10 @@
                                 LcFlowRelease reason,
                                 const LcCandidate *by);
 
+  /* Drops a pointer whose owner ended it or has stopped refreshing it.  If the own backend server may
+   * hold the flow, the entry stays for an idle timeout, so that a search tries it. */
+  void lc_flow_pointers_drop_pointer (LcFlowAgent *agent, LcFlow *flow, int64_t now_us);
+
   /* Stores a pointer to a reported owner.  False: the flow is owned here, that owner is gone in the
    * view, or the table is full. */
   bool lc_flow_pointers_store_reported (LcFlowAgent *agent,
