--- a/src/agent/lc-agent-report.c
+++ b/src/agent/lc-agent-report.c
@@ -61,6 +61,22 @@
   lc_http_answer_error (req, error);
 }
 
+/* Whether the report is of the backend server beside this agent. */
+static int
+lc_agent_report__check_origin (const LcAgentReport *self, const LcBackendReport *r, LcError *error)
+{
+  const LcAgentSettings *settings = self->desc.settings;
+
+  if (strcmp (r->service, settings->service) != 0)
+    return lc_error_set (error, LC_ERR_CONFLICT, "report to the agent of the same service",
+                         "a backend server of %s reports to an agent of %s", r->service,
+                         settings->service);
+  if (settings->backend_feed.ipv4 != 0 && r->ipv4 != settings->backend_feed.ipv4)
+    return lc_error_set (error, LC_ERR_CONFLICT, "report to the agent on the same VM",
+                         "$.address is not the address of this agent's backend server");
+  return 0;
+}
+
 static int
 lc_agent_report__on_request (void *user, h2o_req_t *req)
 {
@@ -74,11 +90,8 @@
 
   if (result == LC_ERR_NOT_FOUND)
     return -1;
-  if (result == 0 && r.state != LC_BACKEND_ENDED &&
-      strcmp (r.service, self->desc.settings->service) != 0)
-    result = lc_error_set (&error, LC_ERR_CONFLICT, "report to the agent of the same service",
-                           "a backend server of %s reports to an agent of %s", r.service,
-                           self->desc.settings->service);
+  if (result == 0 && r.state != LC_BACKEND_ENDED)
+    result = lc_agent_report__check_origin (self, &r, &error);
   if (result < 0)
     {
       lc_agent_report__refuse (self, req, &error);
--- a/src/core/member/lc-backend-status.h
+++ b/src/core/member/lc-backend-status.h
@@ -60,6 +60,7 @@
     uint32_t slots;    /* concurrent requests; 0: not sent */
     uint32_t cold_ms;  /* remaining time of its slow start */
     char service[LC_NAME_MAX];
+    uint32_t ipv4; /* where it listens; 0: not sent */
   } LcBackendReport;
 
   typedef enum
--- a/tests/adapter/test-report.c
+++ b/tests/adapter/test-report.c
@@ -5,7 +5,12 @@
 #include <check.h>
 #include <string.h>
 
-#define HEAD(state) "{\"backend\":\"order\",\"address\":\"10.0.0.9:8080\",\"state\":\"" state "\""
+#define TEXTS(address, zone, version)                                                              \
+  "{\"backend\":\"order\",\"address\":" address ",\"zone\":" zone ",\"version\":" version
+#define HEAD(state) TEXTS ("\"10.0.0.9:8080\"", "\"north\"", "\"v1\"") ",\"state\":\"" state "\""
+#define WITH_TEXTS(address, zone, version)                                                         \
+  TEXTS (address, zone, version)                                                                   \
+  ",\"state\":\"ready\",\"concurrency\":4,\"warmupLeftMs\":0,\"sequence\":1}"
 #define BODY(state, rest) HEAD (state) ",\"concurrency\":4,\"warmupLeftMs\":0" rest "}"
 
 typedef struct
@@ -55,16 +60,39 @@
   { "no warm-up named", "PUT", "/instances/i-1",
     HEAD ("ready") ",\"concurrency\":4,\"sequence\":1}", LC_ERR_INVALID },
   { "no address", "PUT", "/instances/i-1",
-    "{\"backend\":\"order\",\"state\":\"ready\",\"concurrency\":4,\"warmupLeftMs\":0,"
-    "\"sequence\":1}",
+    "{\"backend\":\"order\",\"zone\":\"north\",\"version\":\"v1\",\"state\":\"ready\","
+    "\"concurrency\":4,\"warmupLeftMs\":0,\"sequence\":1}",
     LC_ERR_INVALID },
   { "address of another type", "PUT", "/instances/i-1",
-    "{\"backend\":\"order\",\"address\":{\"ip\":1},\"state\":\"ready\",\"concurrency\":4,"
-    "\"warmupLeftMs\":0,\"sequence\":1}",
+    WITH_TEXTS ("{\"ip\":1}", "\"north\"", "\"v1\""), LC_ERR_INVALID },
+  { "address without a port", "PUT", "/instances/i-1",
+    WITH_TEXTS ("\"10.0.0.9\"", "\"north\"", "\"v1\""), LC_ERR_INVALID },
+  { "address with a port out of range", "PUT", "/instances/i-1",
+    WITH_TEXTS ("\"10.0.0.9:65536\"", "\"north\"", "\"v1\""), LC_ERR_INVALID },
+  { "address that is no IPv4 address", "PUT", "/instances/i-1",
+    WITH_TEXTS ("\"order:8080\"", "\"north\"", "\"v1\""), LC_ERR_INVALID },
+  { "all texts", "PUT", "/instances/i-1", WITH_TEXTS ("\"10.0.0.9:8080\"", "\"north\"", "\"v1\""),
+    0, LC_BACKEND_READY, 1 },
+  { "no zone", "PUT", "/instances/i-1",
+    "{\"backend\":\"order\",\"address\":\"10.0.0.9:8080\",\"version\":\"v1\",\"state\":\"ready\","
+    "\"concurrency\":4,\"warmupLeftMs\":0,\"sequence\":1}",
     LC_ERR_INVALID },
+  { "zone is a number", "PUT", "/instances/i-1", WITH_TEXTS ("\"10.0.0.9:8080\"", "7", "\"v1\""),
+    LC_ERR_INVALID },
+  { "zone is empty", "PUT", "/instances/i-1", WITH_TEXTS ("\"10.0.0.9:8080\"", "\"\"", "\"v1\""),
+    LC_ERR_INVALID },
+  { "no version", "PUT", "/instances/i-1",
+    "{\"backend\":\"order\",\"address\":\"10.0.0.9:8080\",\"zone\":\"north\",\"state\":\"ready\","
+    "\"concurrency\":4,\"warmupLeftMs\":0,\"sequence\":1}",
+    LC_ERR_INVALID },
+  { "version is a list", "PUT", "/instances/i-1",
+    WITH_TEXTS ("\"10.0.0.9:8080\"", "\"north\"", "[\"v1\"]"), LC_ERR_INVALID },
+  { "version is null", "PUT", "/instances/i-1",
+    WITH_TEXTS ("\"10.0.0.9:8080\"", "\"north\"", "null"), LC_ERR_INVALID },
   { "state of another type", "PUT", "/instances/i-1",
-    "{\"backend\":\"order\",\"address\":\"10.0.0.9:8080\",\"state\":1,\"concurrency\":4,"
-    "\"warmupLeftMs\":0,\"sequence\":1}",
+    TEXTS ("\"10.0.0.9:8080\"",
+           "\"north\"",
+           "\"v1\"") ",\"state\":1,\"concurrency\":4,\"warmupLeftMs\":0,\"sequence\":1}",
     LC_ERR_INVALID },
   { "bytes that can't be read", "PUT", "/instances/i-1", "\x93\xff\xfe{\"", LC_ERR_INVALID },
   { "text that is no UTF-8", "PUT", "/instances/i-1",
@@ -92,6 +120,8 @@
     LC_ERR_INVALID, 0, 0 },
 };
 
+/* A report of another writer without `zone` and `version` displaced a draining backend server, which
+ * was given new flows again. */
 START_TEST (test_read)
 {
   const ReadCase *c = &READ[_i];
