--- a/src/agent/lc-agent-report.c
+++ b/src/agent/lc-agent-report.c
@@ -30,10 +30,27 @@
            "cold_ms", LC_U64 (r->cold_ms));
 }
 
+/* Logs a report of another start than the present one, which has no effect for now. */
 static void
+lc_agent_report__log_held (LcAgentReport *self, const LcBackendReport *r)
+{
+  const LcBackendReport *present = &self->status.newest;
+
+  if (lc_log_allow (&self->log_limit, lc_clock_now_us (), LC_AGENT_REPORT_LOGS_PER_S))
+    LC_INFO ("backend.report-held", "backend", LC_STR (r->id), "state",
+             LC_STR (lc_agent_report__state_name (r->state)), "sequence", LC_U64 (r->sequence),
+             "born_ms", LC_U64 (r->born_ms), "present", LC_STR (present->id), "present_state",
+             LC_STR (lc_agent_report__state_name (present->state)), "present_born_ms",
+             LC_U64 (present->born_ms));
+}
+
+/* Applies a report; returns false if it is of another start than the present one, and so had no
+ * effect. */
+static bool
 lc_agent_report__apply (LcAgentReport *self, const LcBackendReport *r)
 {
   LcBackendUpdate update = lc_backend_status_apply (&self->status, r, lc_clock_now_us ());
+  bool is_present = lc_backend_status_is_present (&self->status, r);
 
   lc_metric_add (self->reports_total, 1);
   switch (update)
@@ -41,7 +58,10 @@
     case LC_BACKEND_UNCHANGED:
       break;
     case LC_BACKEND_STALE:
-      lc_metric_add (self->late_total, 1);
+    case LC_BACKEND_HELD:
+      lc_metric_add (is_present ? self->late_total : self->held_total, 1);
+      if (!is_present)
+        lc_agent_report__log_held (self, r);
       break;
     case LC_BACKEND_STARTED:
     case LC_BACKEND_CHANGED:
@@ -49,6 +69,7 @@
       self->desc.on_update (self->desc.user, update, r);
       break;
     }
+  return is_present;
 }
 
 static void
@@ -97,7 +118,16 @@
       lc_agent_report__refuse (self, req, &error);
       return 0;
     }
-  lc_agent_report__apply (self, &r);
+  /* An acknowledged leave is a promise; other reports without effect are acknowledged as late. */
+  if (!lc_agent_report__apply (self, &r) && r.state == LC_BACKEND_DRAINING)
+    {
+      (void)lc_error_set (&error, LC_ERR_CONFLICT, "repeat the report until it is acknowledged",
+                          "another start of the backend server, %s, has reported within the last "
+                          "interval",
+                          self->status.newest.id);
+      lc_agent_report__refuse (self, req, &error);
+      return 0;
+    }
   lc_http_answer (req, 200, NULL, ANSWER, sizeof ANSWER - 1);
   return 0;
 }
@@ -126,6 +156,8 @@
       lc_metrics_counter (m, "lychee_backend_reports_total", "Reports of the backend server", NULL);
   self->late_total = lc_metrics_counter (m, "lychee_backend_reports_late_total",
                                          "Reports older than what was known", NULL);
+  self->held_total = lc_metrics_counter (m, "lychee_backend_reports_held_total",
+                                         "Reports of another start than the present one", NULL);
   self->refused_total = lc_metrics_counter (m, "lychee_backend_reports_refused_total",
                                             "Reports that could not be read", NULL);
   r = lc_http_init (&self->http, &http, error);
@@ -133,6 +165,18 @@
   return r;
 }
 
+void
+lc_agent_report_tick (LcAgentReport *self)
+{
+  LcBackendReport accepted;
+
+  if (!lc_backend_status_accept_claim (&self->status, lc_clock_now_us ()))
+    return;
+  accepted = self->status.newest;
+  lc_agent_report__log (&accepted, LC_BACKEND_STARTED);
+  self->desc.on_update (self->desc.user, LC_BACKEND_STARTED, &accepted);
+}
+
 void
 lc_agent_report_finish (LcAgentReport *self)
 {
--- a/src/agent/lc-agent-report.h
+++ b/src/agent/lc-agent-report.h
@@ -40,9 +40,13 @@
   LcMetric *reports_total;
   LcMetric *late_total;
   LcMetric *refused_total;
+  LcMetric *held_total;
   LcLogLimit log_limit;
 } LcAgentReport;
 
+/* Accepts a start that was held as long as another one reported; calls back if so.  Call it several
+ * times a second. */
+void lc_agent_report_tick (LcAgentReport *report);
 /* Does not listen if report_port is 0. */
 int lc_agent_report_init (LcAgentReport *report, const LcAgentReportDesc *desc, LcError *error);
 void lc_agent_report_finish (LcAgentReport *report);
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -74,17 +74,31 @@
   lc_member_set_registered (&p->member, MIN (flow, request));
 }
 
-static LcFlowBackendState
-lc_agent__backend_state (const LcAgentProgram *p, int64_t now_us)
+/* Whether the view lists this endpoint, and not as leaving or lost. */
+static bool
+lc_agent__is_candidate (const LcAgentProgram *p)
+{
+  const LcEndpoint *e = lc_member_endpoint (&p->member);
+
+  return e != NULL && lc_endpoint_is_candidate (e);
+}
+
+static bool
+lc_agent__is_listed_leaving (const LcAgentProgram *p)
 {
   const LcEndpoint *e = lc_member_endpoint (&p->member);
-  bool is_candidate = e != NULL && lc_endpoint_is_candidate (e);
 
+  return e != NULL && e->state == LC_ENDPOINT_DRAINING;
+}
+
+static LcFlowBackendState
+lc_agent__backend_state (const LcAgentProgram *p, int64_t now_us)
+{
   if (p->stop_at_us != 0)
     return LC_FLOW_BACKEND_UNAVAILABLE;
   if (lc_backend_status_is_available (&p->report.status, now_us))
     return LC_FLOW_BACKEND_OPEN;
-  if (lc_backend_status_may_try (&p->report.status, is_candidate, now_us))
+  if (lc_backend_status_may_try (&p->report.status, lc_agent__is_candidate (p), now_us))
     return LC_FLOW_BACKEND_UNCONFIRMED;
   return LC_FLOW_BACKEND_UNAVAILABLE;
 }
@@ -106,6 +120,7 @@
   LcAgentProgram *p = user;
 
   lc_agent__report_registered (p);
+  lc_agent_report_tick (&p->report);
   lc_agent__update_backend (p);
   lc_timer_start (&p->registered_timer, LC_AGENT_REGISTERED_MS);
 }
@@ -119,12 +134,14 @@
   LcAgentProgram *p = user;
 
   LcInstance instance = lc_backend_status_instance (&p->report.status);
+  LcBackendReport first = *report;
 
   if (update == LC_BACKEND_STARTED)
     {
+      first.sequence = p->report.status.first_sequence;
       lc_member_announce (&p->member, instance, (uint8_t)MIN (report->slots, (uint32_t)UINT8_MAX));
       lc_agent_flow_backend_started (&p->flow, instance,
-                                     lc_backend_report_is_new_start (report, p->started_ms));
+                                     lc_backend_report_is_new_start (&first, p->started_ms));
     }
   if (report->state != LC_BACKEND_READY)
     {
@@ -140,7 +157,8 @@
   LcAgentProgram *p = user;
 
   if (lc_agent__has_reports (p) && lc_member_adopt_instance (&p->member))
-    lc_backend_status_set_listed (&p->report.status, lc_member_instance (&p->member));
+    lc_backend_status_set_listed (&p->report.status, lc_member_instance (&p->member),
+                                  lc_agent__is_listed_leaving (p));
   lc_agent__update_backend (p);
   lc_agent_flow_set_view (&p->flow, view, ops, n_ops, is_reset);
   if (p->settings.has_requests)
--- a/src/core/member/lc-backend-status.c
+++ b/src/core/member/lc-backend-status.c
@@ -7,13 +7,15 @@
 {
   LC_BACKEND_FIRST_REPORT = 1,  /* sequence of the first report of a start */
   LC_BACKEND_TOGETHER_MS = 150, /* shorter than an agent takes to start and get a view */
+  LC_BACKEND_CLAIM_REPORTS = 2, /* of a start that replaces one that was leaving */
 };
 
 enum
 {
   LC_BACKEND_INTERVAL_MS = 1200,
   LC_BACKEND_SILENT_PERMILLE = 2500, /* of the interval: one lost report and one late one */
-  LC_BACKEND_ASK_PERMILLE = 1250,    /* of the interval: the first report is due before */
+  LC_BACKEND_ASK_PERMILLE = 1250,    /* of the interval: the next report is due before */
+  LC_BACKEND_SPACING_PERMILLE = 500, /* of the interval: between two reports that count as two */
 };
 
 /* === private: identities ==================================================================== */
@@ -47,67 +49,178 @@
   s->earlier[0] = known;
 }
 
-typedef enum
+/* Whether the present start has not reported for more than `permille` of the interval.  Before the
+ * first report the time counts from the start of this agent. */
+static bool
+lc_backend_status__is_overdue (const LcBackendStatus *s, int64_t permille, int64_t now_us)
 {
-  LC_BACKEND_ORDER_SAME,    /* of the present start */
-  LC_BACKEND_ORDER_EARLIER, /* of an earlier one, or can't be attributed */
-  LC_BACKEND_ORDER_LATER,
-} LcBackendOrder;
+  int64_t heard_us = s->newest.state != LC_BACKEND_UNKNOWN ? s->reported_us : s->started_us;
+
+  return now_us - heard_us > (int64_t)s->desc.interval_ms * permille;
+}
 
 static bool
 lc_backend_status__is_silent (const LcBackendStatus *s, int64_t now_us)
 {
-  int64_t silent_us = (int64_t)s->desc.interval_ms * LC_BACKEND_SILENT_PERMILLE;
-
-  return now_us - s->reported_us > silent_us;
+  return lc_backend_status__is_overdue (s, LC_BACKEND_SILENT_PERMILLE, now_us);
 }
 
-/* Orders a report without a time when the present start has one.  Only the end of a draining start
- * is accepted; any other can't be attributed to a start. */
+/* === private: order of starts =============================================================== */
+
+typedef enum
+{
+  LC_BACKEND_ORDER_SAME,     /* of the present start */
+  LC_BACKEND_ORDER_EARLIER,  /* its time, or an earlier report, speaks against it */
+  LC_BACKEND_ORDER_UNPROVEN, /* of another id, and nothing speaks against it */
+  LC_BACKEND_ORDER_LATER,
+} LcBackendOrder;
+
+/* Orders a report under the present id.  Without a time, only the end of a draining start can be
+ * attributed to it. */
 static LcBackendOrder
-lc_backend_status__order_untimed (const LcBackendStatus *s, const LcBackendReport *report)
+lc_backend_status__order_same_id (const LcBackendStatus *s, const LcBackendReport *report)
 {
-  bool is_end = report->state == LC_BACKEND_ENDED && s->newest.state == LC_BACKEND_DRAINING;
+  const LcBackendReport *newest = &s->newest;
+  bool is_end = report->state == LC_BACKEND_ENDED && newest->state == LC_BACKEND_DRAINING;
 
-  return is_end ? LC_BACKEND_ORDER_SAME : LC_BACKEND_ORDER_EARLIER;
+  if (report->born_ms == newest->born_ms || (report->born_ms == 0 && is_end))
+    return LC_BACKEND_ORDER_SAME;
+  if (report->born_ms < newest->born_ms)
+    return LC_BACKEND_ORDER_EARLIER;
+  if (newest->born_ms != 0)
+    return LC_BACKEND_ORDER_LATER; /* even if the view listed that start before */
+  return lc_backend_status__is_earlier (s, lc_backend_status__instance_of (report))
+             ? LC_BACKEND_ORDER_EARLIER
+             : LC_BACKEND_ORDER_LATER;
 }
 
 /* Orders a report's start against the present one.  Start times are never compared with the local
- * clock, as the backend server's may step.  Under another id they decide only while the present
- * start reports: after a step back, a new backend server is ignored for one silence, not forever.
- * */
+ * clock, as the backend server's may step; a missing one counts as 0. */
 static LcBackendOrder
-lc_backend_status__order (const LcBackendStatus *s, const LcBackendReport *report, int64_t now_us)
+lc_backend_status__order (const LcBackendStatus *s, const LcBackendReport *report)
 {
-  bool is_same_id = s->newest.state != LC_BACKEND_UNKNOWN && strcmp (s->newest.id, report->id) == 0;
-  bool have_both = s->newest.born_ms != 0 && report->born_ms != 0;
+  LcInstance instance = lc_backend_status__instance_of (report);
 
-  if (is_same_id && s->newest.born_ms == report->born_ms)
-    return LC_BACKEND_ORDER_SAME;
-  if (is_same_id && report->born_ms == 0)
-    return lc_backend_status__order_untimed (s, report);
-  if (have_both && report->born_ms < s->newest.born_ms &&
-      (is_same_id || !lc_backend_status__is_silent (s, now_us)))
+  if (s->newest.state == LC_BACKEND_UNKNOWN)
+    return s->is_listed_leaving && instance != s->listed ? LC_BACKEND_ORDER_UNPROVEN
+                                                         : LC_BACKEND_ORDER_LATER;
+  if (strcmp (s->newest.id, report->id) == 0)
+    return lc_backend_status__order_same_id (s, report);
+  if (report->born_ms < s->newest.born_ms || lc_backend_status__is_earlier (s, instance))
     return LC_BACKEND_ORDER_EARLIER;
-  /* A later time under the same id is a later start, even of one that the view listed before. */
-  if (is_same_id && have_both)
-    return LC_BACKEND_ORDER_LATER;
-  if (!lc_backend_status__is_earlier (s, lc_backend_status__instance_of (report)))
-    return LC_BACKEND_ORDER_LATER;
-  /* An "earlier" start with a later time was displaced by a delayed report while it was silent
-   * itself; it is accepted again once the start that displaced it is silent. */
-  return have_both && report->born_ms > s->newest.born_ms &&
-                 lc_backend_status__is_silent (s, now_us)
-             ? LC_BACKEND_ORDER_LATER
-             : LC_BACKEND_ORDER_EARLIER;
+  return s->newest.state == LC_BACKEND_ENDED ? LC_BACKEND_ORDER_LATER : LC_BACKEND_ORDER_UNPROVEN;
+}
+
+/* === private: claims ======================================================================== */
+
+static bool
+lc_backend_status__is_claimant (const LcBackendClaim *claim, const LcBackendReport *report)
+{
+  return claim->n_reports > 0 && strcmp (claim->report.id, report->id) == 0 &&
+         claim->report.born_ms == report->born_ms;
 }
 
+/* Whether the claimant reports regularly, so that a single report of yet another start does not
+ * replace it. */
+static bool
+lc_backend_status__is_claim_steady (const LcBackendStatus *s, int64_t now_us)
+{
+  return s->claim.n_reports >= LC_BACKEND_CLAIM_REPORTS &&
+         now_us - s->claim.reported_us <= (int64_t)s->desc.interval_ms * LC_BACKEND_ASK_PERMILLE;
+}
+
+/* Records a report of another start than the present one, which goes on for now. */
 static void
-lc_backend_status__store (LcBackendStatus *s, const LcBackendReport *report, int64_t now_us)
+lc_backend_status__record_claim (LcBackendStatus *s, const LcBackendReport *report, int64_t now_us)
+{
+  int64_t spacing_us = (int64_t)s->desc.interval_ms * LC_BACKEND_SPACING_PERMILLE;
+  LcBackendClaim *claim = &s->claim;
+  bool is_known = lc_backend_status__is_claimant (claim, report);
+
+  if (is_known ? report->sequence <= claim->report.sequence
+               : lc_backend_status__is_claim_steady (s, now_us))
+    return;
+  if (!is_known)
+    *claim =
+        (LcBackendClaim){ .first_sequence = report->sequence, .counted_us = now_us - spacing_us };
+  claim->report = *report;
+  claim->reported_us = now_us;
+  if (now_us - claim->counted_us < spacing_us)
+    return; /* reports that were delayed arrive together */
+  claim->counted_us = now_us;
+  claim->n_reports++;
+}
+
+/* Whether the claimed start is the present one: the known start does not report any more.  One that
+ * was leaving may be quiet: then a single report, which may have been delayed, is not enough. */
+static bool
+lc_backend_status__is_claim_due (const LcBackendStatus *s, int64_t now_us)
+{
+  const LcBackendClaim *claim = &s->claim;
+  bool is_repeated = claim->n_reports >= LC_BACKEND_CLAIM_REPORTS;
+  bool is_earlier;
+
+  if (claim->n_reports == 0)
+    return false;
+  if (s->newest.state != LC_BACKEND_READY)
+    return is_repeated && lc_backend_status__is_silent (s, now_us);
+  is_earlier = lc_backend_status__is_earlier (s, lc_backend_status__instance_of (&claim->report));
+  if (claim->report.born_ms < s->newest.born_ms || (is_earlier && !is_repeated))
+    return lc_backend_status__is_silent (s, now_us);
+  return lc_backend_status__is_overdue (s, LC_BACKEND_ASK_PERMILLE, now_us);
+}
+
+static void
+lc_backend_status__store (LcBackendStatus *s, const LcBackendReport *report, int64_t reported_us)
 {
   s->newest = *report;
-  s->reported_us = now_us;
-  s->warm_at_us = now_us + (int64_t)report->cold_ms * LC_US_PER_MS;
+  s->reported_us = reported_us;
+  s->warm_at_us = reported_us + (int64_t)report->cold_ms * LC_US_PER_MS;
+  s->claim.n_reports = 0;
+}
+
+static void
+lc_backend_status__start (LcBackendStatus *s,
+                          const LcBackendReport *report,
+                          uint64_t first_sequence,
+                          int64_t reported_us)
+{
+  lc_backend_status__retire (s, lc_backend_status__instance_of (report));
+  lc_backend_status__store (s, report, reported_us);
+  s->first_sequence = first_sequence;
+}
+
+static LcBackendUpdate
+lc_backend_status__claim (LcBackendStatus *s,
+                          const LcBackendReport *report,
+                          LcBackendOrder order,
+                          int64_t now_us)
+{
+  if (report->state == LC_BACKEND_ENDED)
+    {
+      if (lc_backend_status__is_claimant (&s->claim, report))
+        s->claim.n_reports = 0;
+      return LC_BACKEND_STALE;
+    }
+  lc_backend_status__record_claim (s, report, now_us);
+  if (lc_backend_status_accept_claim (s, now_us))
+    return LC_BACKEND_STARTED;
+  return order == LC_BACKEND_ORDER_EARLIER ? LC_BACKEND_STALE : LC_BACKEND_HELD;
+}
+
+static LcBackendUpdate
+lc_backend_status__update (LcBackendStatus *s, const LcBackendReport *report, int64_t now_us)
+{
+  LcBackendState before = s->newest.state;
+  LcBackendReport taken = *report;
+
+  /* The state never goes back, in whatever order the reports come. */
+  if (report->state < before ||
+      (report->state != LC_BACKEND_ENDED && report->sequence <= s->newest.sequence))
+    return LC_BACKEND_STALE;
+  taken.born_ms = s->newest.born_ms; /* the report of an end may lack it */
+  lc_backend_status__store (s, &taken, now_us);
+  return report->state != before ? LC_BACKEND_CHANGED : LC_BACKEND_UNCHANGED;
 }
 
 /* === public ================================================================================= */
@@ -132,39 +245,51 @@
 }
 
 void
-lc_backend_status_set_listed (LcBackendStatus *s, LcInstance instance)
+lc_backend_status_set_listed (LcBackendStatus *s, LcInstance instance, bool is_leaving)
 {
-  if (s->newest.state == LC_BACKEND_UNKNOWN)
-    s->listed = instance;
+  if (s->newest.state != LC_BACKEND_UNKNOWN)
+    return;
+  s->listed = instance;
+  s->is_listed_leaving = instance != 0 && is_leaving;
 }
 
 LcBackendUpdate
 lc_backend_status_apply (LcBackendStatus *s, const LcBackendReport *report, int64_t now_us)
 {
-  LcBackendState before = s->newest.state;
-  LcBackendReport taken = *report;
+  LcBackendOrder order = lc_backend_status__order (s, report);
 
-  switch (lc_backend_status__order (s, report, now_us))
+  switch (order)
     {
-    case LC_BACKEND_ORDER_EARLIER:
-      return LC_BACKEND_STALE;
+    case LC_BACKEND_ORDER_SAME:
+      return lc_backend_status__update (s, report, now_us);
     case LC_BACKEND_ORDER_LATER:
       if (report->state == LC_BACKEND_ENDED)
         return LC_BACKEND_STALE;
-      lc_backend_status__retire (s, lc_backend_status__instance_of (report));
-      lc_backend_status__store (s, report, now_us);
+      lc_backend_status__start (s, report, report->sequence, now_us);
       return LC_BACKEND_STARTED;
-    case LC_BACKEND_ORDER_SAME:
+    case LC_BACKEND_ORDER_EARLIER:
+    case LC_BACKEND_ORDER_UNPROVEN:
     default:
-      break;
+      return lc_backend_status__claim (s, report, order, now_us);
     }
-  /* The state never goes back, in whatever order the reports come. */
-  if (report->state < before ||
-      (report->state != LC_BACKEND_ENDED && report->sequence <= s->newest.sequence))
-    return LC_BACKEND_STALE;
-  taken.born_ms = s->newest.born_ms; /* the report of an end may lack it */
-  lc_backend_status__store (s, &taken, now_us);
-  return report->state != before ? LC_BACKEND_CHANGED : LC_BACKEND_UNCHANGED;
+}
+
+bool
+lc_backend_status_accept_claim (LcBackendStatus *s, int64_t now_us)
+{
+  LcBackendClaim claim = s->claim;
+
+  if (!lc_backend_status__is_claim_due (s, now_us))
+    return false;
+  lc_backend_status__start (s, &claim.report, claim.first_sequence, claim.reported_us);
+  return true;
+}
+
+bool
+lc_backend_status_is_present (const LcBackendStatus *s, const LcBackendReport *report)
+{
+  return s->newest.state != LC_BACKEND_UNKNOWN &&
+         lc_backend_status__order (s, report) == LC_BACKEND_ORDER_SAME;
 }
 
 bool
@@ -184,7 +309,10 @@
 bool
 lc_backend_status_is_cold (const LcBackendStatus *s, int64_t now_us)
 {
-  return s->newest.state == LC_BACKEND_UNKNOWN || now_us < s->warm_at_us;
+  int64_t claim_warm_us = s->claim.reported_us + (int64_t)s->claim.report.cold_ms * LC_US_PER_MS;
+
+  return s->newest.state == LC_BACKEND_UNKNOWN || now_us < s->warm_at_us ||
+         (s->claim.n_reports > 0 && now_us < claim_warm_us);
 }
 
 LcInstance
