--- a/src/core/flow/lc-assign.h
+++ b/src/core/flow/lc-assign.h
@@ -105,6 +105,7 @@
     int64_t joined_us;     /* when the view first had it JOINING; 0: slow start is over */
     int64_t lost_us;       /* when the view first had it LOST; 0: not LOST */
     int64_t asked_us;      /* first query since its last message; 0: none unanswered */
+    int64_t heard_us;      /* its last message of any kind; 0: none */
     int64_t asked_last_us; /* last query */
     bool is_candidate;
     bool is_evacuated; /* its data centre is */
--- a/src/core/flow/lc-flow-finder.c
+++ b/src/core/flow/lc-flow-finder.c
@@ -5,10 +5,15 @@
 
 #include <xxhash.h>
 
-/* After this time a lost endpoint's flows count as gone: longer than the lease, and than the time
- * after which a platform reports a cut-off VM as disconnected (4 to 5 s). */
+/* After this time the flows of a lost endpoint that sends nothing count as gone: longer than the
+ * lease, and than the time after which a platform reports a cut-off VM as disconnected (4 to 5 s). */
 #define LC_FLOW_LOST_TIMEOUT_US (5 * LC_US_PER_S)
 
+/* An agent that has sent a message within this time is alive, whatever the view says of its
+ * endpoint: all balancers that could report it may be gone.  Longer than a load report takes to come
+ * round in a service of some hundred endpoints. */
+#define LC_FLOW_HEARD_TIMEOUT_US (5 * LC_US_PER_S / 2)
+
 /* An endpoint that leaves queries unanswered for this long counts as dead or cut off.  When all
  * endpoints restart at once, the view may not show that for 15 s, since nobody has a lease of one
  * that did not come back; one such endpoint kept every caller of a lost flow waiting for its time
@@ -25,14 +30,15 @@
 }
 
 /* Whether a search waits for this endpoint.  One that is LOST in the view may be alive and cut
- * off; after LC_FLOW_LOST_TIMEOUT_US its callers are better served by a new flow, and so are
- * those of an endpoint that does not answer. */
+ * off; after LC_FLOW_LOST_TIMEOUT_US without a message its callers are better served by a new flow,
+ * and so are those of an endpoint that does not answer. */
 static bool
 lc_flow_finder__is_awaited (const LcAssignPeer *p, int64_t now_us)
 {
   if (p->asked_us != 0 && now_us - p->asked_us >= LC_FLOW_SILENT_TIMEOUT_US)
     return false;
-  return p->lost_us == 0 || now_us - p->lost_us < LC_FLOW_LOST_TIMEOUT_US;
+  return p->lost_us == 0 || now_us - p->lost_us < LC_FLOW_LOST_TIMEOUT_US ||
+         (p->heard_us != 0 && now_us - p->heard_us < LC_FLOW_HEARD_TIMEOUT_US);
 }
 
 static LcFlowSearchMember
@@ -461,6 +467,7 @@
   bool was_silent = lc_flow_finder__is_silent (peer, now_us);
 
   peer->asked_us = 0;
+  peer->heard_us = now_us;
   return was_silent;
 }
 
--- a/tests/flow/test-flow-return.c
+++ b/tests/flow/test-flow-return.c
@@ -354,6 +354,7 @@
   ONE_LOST,      /* LOST in the view for long */
   ONE_JUST_LOST, /* LOST in the view just now: may be alive */
   ONE_HOLDS,     /* holds the flow, but its agent has restarted */
+  ONE_REPORTS,   /* holds the flow and reports its load, but is long LOST in the view */
 } Lost;
 
 static const struct
@@ -367,6 +368,7 @@
   { "one does not answer, and has long been LOST", ONE_LOST, true },
   { "one does not answer, and has just become LOST", ONE_JUST_LOST, false },
   { "one holds the flow, but its agent has restarted", ONE_HOLDS, false },
+  { "one holds the flow and reports its load, and has long been LOST", ONE_REPORTS, false },
 };
 
 static void
@@ -374,7 +376,7 @@
 {
   memset (w->nodes[0].holds, 0, sizeof w->nodes[0].holds);
   memset (w->nodes[1].holds, 0, sizeof w->nodes[1].holds);
-  memset (w->nodes[2].holds, lost == ONE_HOLDS, sizeof w->nodes[2].holds);
+  memset (w->nodes[2].holds, lost == ONE_HOLDS || lost == ONE_REPORTS, sizeof w->nodes[2].holds);
   if (lost == ONE_HOLDS)
     rw_restart_agent (w, 2);
   if (lost == ONE_SILENT || lost == ONE_LOST || lost == ONE_JUST_LOST)
@@ -385,9 +387,17 @@
       rw_show_view (w);
       w->now_us += lost == ONE_LOST ? 6 * LC_US_PER_S : 0;
     }
+  if (lost == ONE_REPORTS)
+    {
+      rw_put_endpoint (w, 2, LC_ENDPOINT_LOST);
+      rw_show_view (w);
+      for (int i = 0; i < 20; i++)
+        rw_settle (w);
+    }
 }
 
-/* A reset needs every endpoint to be accounted for. */
+/* A reset needs every endpoint to be accounted for.  Control marks all endpoints of a data centre as
+ * lost with its balancers; callers of these were reset, although their agents went on reporting. */
 START_TEST (test_lost_flows_are_reset)
 {
   uint32_t n_resets;
