--- a/src/core/flow/lc-flow-agent.h
+++ b/src/core/flow/lc-flow-agent.h
@@ -199,6 +199,19 @@
     LcEnvelope envelope; /* to its candidate `hop` */
   } LcFlowPassed;
 
+  enum
+  {
+    LC_FLOW_TRIED_MAX = 64, /* packets of searches whose answer by the backend server is awaited */
+  };
+
+  /* A packet of another agent's search that was given to the backend server. */
+  typedef struct
+  {
+    LcFlowKey key;
+    LcCandidate searcher; /* id 0: none */
+    int64_t tried_us;
+  } LcFlowTried;
+
   typedef struct
   {
     uint64_t delivered_total;
@@ -274,7 +287,8 @@
     GArray *found;            /* LcFlowFound: stored packets to send to their owners */
     GHashTable *envelopes;    /* search slot -> LcEnvelope, of packets that name several services */
     GArray *passed;           /* LcFlowPassed: stored packets to send to another service */
-    GArray *released;         /* LcFlowReleased: for the log, LC_FLOW_RELEASED_MAX at most */
+    LcFlowTried tried[LC_FLOW_TRIED_MAX]; /* by the flow's hash */
+    GArray *released; /* LcFlowReleased: for the log, LC_FLOW_RELEASED_MAX at most */
     LcFlowAgentCounts counts;
   } LcFlowAgent;
 
--- a/src/core/flow/lc-flow-finder.c
+++ b/src/core/flow/lc-flow-finder.c
@@ -288,6 +288,49 @@
         a, key, lc_flow_pointers_add_message (a, LC_FLOW_QUERY_REPLY, &peer->agent));
 }
 
+static LcFlowTried *
+lc_flow_finder__tried_of (LcFlowAgent *a, const LcFlowKey *key)
+{
+  return &a->tried[lc_flow_key_hash (key) % LC_FLOW_TRIED_MAX];
+}
+
+void
+lc_flow_finder_record_try (LcFlowAgent *a,
+                           const LcCandidate *searcher,
+                           const LcFlowKey *key,
+                           int64_t now_us)
+{
+  *lc_flow_finder__tried_of (a, key) =
+      (LcFlowTried){ .key = *key, .searcher = *searcher, .tried_us = now_us };
+}
+
+void
+lc_flow_finder_report_owned (LcFlowAgent *a, const LcCandidate *searcher, const LcFlowKey *key)
+{
+  LcFlowEntry *entry = lc_flow_pointers_add_entry (a, LC_FLOW_QUERY_REPLY, searcher);
+
+  entry->key = *key;
+  entry->backend_id = a->desc.self.id;
+  entry->backend_instance = a->desc.self.instance;
+  entry->backend_ipv4 = a->desc.self.ipv4;
+  entry->backend_port = a->desc.self.port;
+}
+
+void
+lc_flow_finder_end_answered (LcFlowAgent *a, const LcFlowKey *key, int64_t now_us)
+{
+  LcFlowTried *tried = lc_flow_finder__tried_of (a, key);
+  uint32_t slot;
+
+  if (a->searches != NULL)
+    (void)lc_flow_search_end_found (a->searches, key, &slot);
+  if (tried->searcher.id == 0 || !lc_flow_key_equal (&tried->key, key))
+    return;
+  if (now_us - tried->tried_us < LC_FLOW_SEARCH_TIMEOUT_US)
+    lc_flow_finder_report_owned (a, &tried->searcher, key);
+  tried->searcher.id = 0;
+}
+
 /* Drops what is left of the search that had the slot before. */
 static void
 lc_flow_finder__clear_slot (LcFlowAgent *a, uint32_t slot)
@@ -508,7 +551,8 @@
     lc_flow_finder__add_answer (a, &m->entries[i].key, answer);
 }
 
-/* Forwards the stored packet to the owner at once: a retransmission would come 0.2 s later. */
+/* Forwards the stored packet to the owner at once: a retransmission would come 0.2 s later.  In a
+ * small service the owner has had it, as each endpoint was sent it. */
 static void
 lc_flow_finder__end_found (LcFlowAgent *a, const LcFlowKey *key, const LcCandidate *owner)
 {
@@ -517,7 +561,8 @@
   if (!lc_flow_search_end_found (a->searches, key, &found.slot))
     return;
   lc_flow_finder_send_owner (a, a->searches->slots[found.slot].home, key);
-  g_array_append_val (a->found, found);
+  if (!lc_flow_finder__is_direct (a))
+    g_array_append_val (a->found, found);
 }
 
 /* Whether the sender has every flow of its backend server that may be open.  One without the last
--- a/src/core/flow/lc-flow-finder.h
+++ b/src/core/flow/lc-flow-finder.h
@@ -20,6 +20,11 @@
  *   If the envelope names several services that may hold the flow, a search that finds no owner in
  *   one passes the packet to a home of the next, and the last one resets the caller.
  *
+ * END
+ *   The owner that gets a packet of a search reports itself to the searcher, which ends the search.
+ *   Otherwise the stored packet would go on to endpoints that join, and a denial by all others would
+ *   end it with a reset of a caller that is being served.
+ *
  * COMPLETE KNOWLEDGE
  *   An agent has all flows of its backend server in its table when that one started after it
  *   (LcFlowAgentDesc.is_backend_fresh), or when it has run for an idle timeout: every live flow has
@@ -74,6 +79,18 @@
   /* Sends the flow's owner to the home that forwarded a packet without knowing it.  If the owner's
    * view is old, each of its packets would take this detour otherwise. */
   void lc_flow_finder_send_owner (LcFlowAgent *agent, LcEndpointId home, const LcFlowKey *key);
+  /* Records that a packet of another agent's search was given to the own backend server. */
+  void lc_flow_finder_record_try (LcFlowAgent *agent,
+                                  const LcCandidate *searcher,
+                                  const LcFlowKey *key,
+                                  int64_t now_us);
+  /* Reports to a searcher that this agent owns the flow. */
+  void lc_flow_finder_report_owned (LcFlowAgent *agent,
+                                    const LcCandidate *searcher,
+                                    const LcFlowKey *key);
+  /* Ends searches for a flow that the own backend server has answered, here and at the agent whose
+   * packet it answers. */
+  void lc_flow_finder_end_answered (LcFlowAgent *agent, const LcFlowKey *key, int64_t now_us);
   /* Searches here for the owner of a packet that came in this envelope. */
   LcFlowAction lc_flow_finder_search (LcFlowAgent *agent,
                                       const LcEnvelope *envelope,
--- a/src/core/flow/lc-flow-return.c
+++ b/src/core/flow/lc-flow-return.c
@@ -304,6 +304,8 @@
       if (lc_flow_return__is_reopening (f, packet))
         lc_warmup_limit_record (&a->first_packets, now_us);
       lc_flow_return__refresh_homes (a, f, e);
+      if (e->mode == LC_MODE_SEARCH)
+        lc_flow_finder_report_owned (a, &e->candidates[0], &packet->key);
       if (lc_flow_return__must_wait (a, f, packet, now_us))
         return (LcFlowAction){ .kind = LC_FLOW_ACTION_HOLD,
                                .hold = { .flow = lc_flow_table_index (&a->table, f),
@@ -333,6 +335,7 @@
       if (packet->may_open)
         return lc_flow_agent__drop (a, LC_DROP_NO_OWNER);
       lc_flow_reconnects_add (&a->reconnects, packet->key.source_ipv4, now_us);
+      lc_flow_finder_record_try (a, &e->candidates[0], &packet->key, now_us);
       return lc_flow_return__try (e->candidates[0].id);
     }
   return lc_flow_agent__drop (a, LC_DROP_MALFORMED);
@@ -460,7 +463,10 @@
   if (f != NULL && f->kind == LC_FLOW_OWNED)
     (void)lc_flow_agent__deliver (a, f, &of_caller, false, now_us);
   else if (!packet->is_reset) /* a reset is for a flow that it no longer holds */
-    (void)lc_flow_agent__accept (a, f, &of_caller, now_us);
+    {
+      (void)lc_flow_agent__accept (a, f, &of_caller, now_us);
+      lc_flow_finder_end_answered (a, &of_caller.key, now_us);
+    }
   f = lc_flow_table_find (&a->table, &of_caller.key, lc_flow_key_hash (&of_caller.key));
   if (f == NULL || f->kind != LC_FLOW_OWNED)
     return answer;
--- a/tests/flow/test-flow-return.c
+++ b/tests/flow/test-flow-return.c
@@ -423,6 +423,57 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *what;
+  bool is_fresh; /* tables have all flows: the owner answers from its table */
+  bool restarts; /* all agents have lost their tables: the owner's backend server answers */
+  int n_agents;
+} FOUND[] = {
+  { "an owner that has the flow in its table", true, false, 3 },
+  { "an owner whose agent has restarted", false, true, 3 },
+  { "an owner in a large service whose agent has restarted", false, true, 20 },
+};
+
+/* A search ends when the owner has the packet: for two seconds more, each endpoint that joined was
+ * given the packet as well. */
+START_TEST (test_search_ends_when_the_owner_is_found)
+{
+  int n = FOUND[_i].n_agents;
+  RwWorld w;
+
+  rw_start_sized (&w, n, n + 2, FOUND[_i].is_fresh);
+  rw_open_flows (&w);
+  for (int i = 0; i < n; i++)
+    for (uint32_t f = 0; f < RW_N_FLOWS; f++)
+      {
+        LcFlowKey key = rw_packet_of (f, false).key;
+        LcFlow *known = lc_flow_table_find (&w.nodes[i].agent.table, &key, lc_flow_key_hash (&key));
+
+        if (known != NULL && known->kind == LC_FLOW_POINTER)
+          lc_flow_table_remove (&w.nodes[i].agent.table, known);
+      }
+  for (int i = 0; i < n && FOUND[_i].restarts; i++)
+    rw_restart_agent (&w, i);
+  for (uint32_t f = 0; f < RW_N_FLOWS; f++)
+    ck_assert_msg (rw_reaches_owner (&w, f), "%s: flow %u", FOUND[_i].what, f);
+  rw_pass (&w, LC_FLOW_AGENT_TICK_US);
+  for (int i = 0; i < n; i++)
+    ck_assert_msg (w.nodes[i].agent.searches->n_used == 0, "%s: %u searches go on", FOUND[_i].what,
+                   w.nodes[i].agent.searches->n_used);
+  for (int i = n; i < n + 2; i++)
+    rw_put_endpoint (&w, i, LC_ENDPOINT_JOINING);
+  rw_show_view (&w);
+  for (int i = 0; i < 10; i++)
+    rw_settle (&w);
+  for (int i = n; i < n + 2; i++)
+    ck_assert_msg (w.nodes[i].agent.counts.returned_total == 0, "%s: a joined endpoint got %u",
+                   FOUND[_i].what, (uint32_t)w.nodes[i].agent.counts.returned_total);
+  ck_assert_uint_eq (w.n_resets + rw_take_resets (&w), 0);
+  rw_stop (&w);
+}
+END_TEST
+
 /* A search needs denials of all members, and of those of the newest roster in the answers. */
 START_TEST (test_search_needs_all_denials)
 {
@@ -628,6 +679,8 @@
   tcase_add_loop_test (tcase, test_lost_flows_are_reset, 0, (int)G_N_ELEMENTS (LOST));
   tcase_add_loop_test (tcase, test_absent_backends_get_no_flows, 0, (int)G_N_ELEMENTS (GONE));
   tcase_add_test (tcase, test_owner_missing_in_other_views);
+  tcase_add_loop_test (tcase, test_search_ends_when_the_owner_is_found, 0,
+                       (int)G_N_ELEMENTS (FOUND));
   tcase_add_test (tcase, test_search_needs_all_denials);
   tcase_add_test (tcase, test_denial_from_another_address);
   tcase_add_loop_test (tcase, test_failing_backends_are_ejected, 0,
