--- a/src/agent/lc-agent-report.c
+++ b/src/agent/lc-agent-report.c
@@ -122,9 +122,8 @@
   if (!lc_agent_report__apply (self, &r) && r.state == LC_BACKEND_DRAINING)
     {
       (void)lc_error_set (&error, LC_ERR_CONFLICT, "repeat the report until it is acknowledged",
-                          "another start of the backend server, %s, has reported within the last "
-                          "interval",
-                          self->status.newest.id);
+                          "another start of the backend server is the present one until it falls "
+                          "silent");
       lc_agent_report__refuse (self, req, &error);
       return 0;
     }
--- a/src/core/flow/lc-flow-message.h
+++ b/src/core/flow/lc-flow-message.h
@@ -34,7 +34,8 @@
     LC_FLOW_CONFLICT = 6, /* home to the registered owner: another agent claims these flows */
     LC_FLOW_NOT_HELD = 7, /* to a searching agent: the backend server here lacks these flows */
     LC_FLOW_QUERY = 8, /* searching agent to another: does its backend server have any of these */
-    LC_FLOW_QUERY_REPLY = 9, /* reply to LC_FLOW_QUERY: those flows whose owner is known */
+    LC_FLOW_QUERY_REPLY = 9, /* reply to LC_FLOW_QUERY, or to a packet of a search: those flows
+                                whose owner is known */
   } LcFlowMessageKind;
 
   typedef struct
