--- a/src/core/flow/lc-flow-finder.h
+++ b/src/core/flow/lc-flow-finder.h
@@ -20,7 +20,7 @@
  *   If the envelope names several services that may hold the flow, a search that finds no owner in
  *   one passes the packet to a home of the next, and the last one resets the caller.
  *
- * END
+ * END OF A SEARCH
  *   The owner that gets a packet of a search reports itself to the searcher, which ends the search.
  *   Otherwise the stored packet would go on to endpoints that join, and a denial by all others would
  *   end it with a reset of a caller that is being served.
